--- a/src/bin/traybend-drill.rs
+++ b/src/bin/fordrelay-wirehost.rs
@@ -1,15 +1,15 @@
 //! Speaks the simulator's wire on standard input and output.
 #![forbid(unsafe_code)]
 
+use fordrelay::wire::Host;
 use std::io::{self, BufRead, Write};
 use std::process::ExitCode;
-use traybend::wire::Host;
 
 fn main() -> ExitCode {
     match run() {
         Ok(()) => ExitCode::SUCCESS,
         Err(text) => {
-            eprintln!("traybend-drill: {text}");
+            eprintln!("fordrelay-wirehost: {text}");
             ExitCode::FAILURE
         }
     }
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -2,8 +2,8 @@
 
 mod common;
 use common::*;
+use fordrelay::api::*;
 use std::collections::BTreeMap;
-use traybend::api::*;
 
 /// The pushes among the actions, or the first to come after them.
 fn wait_for_push(rig: &mut Rig, actions: &[Action]) -> Vec<(u64, WorkerId)> {
@@ -308,7 +308,7 @@
 
 #[test]
 fn unusable_settings_are_a_typed_error() {
-    use traybend::decide::Dispatcher;
+    use fordrelay::decide::Dispatcher;
     let error = |s: Settings| Dispatcher::new(s, 1).err();
     assert_eq!(error(settings(vec![])), Some(SettingsError::NoClasses));
     let mut s = settings(vec![safe()]);
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -2,10 +2,10 @@
 
 mod common;
 use common::*;
+use fordrelay::api::*;
 use proptest::prelude::*;
 use proptest::test_runner::{RngAlgorithm, TestRng, TestRunner};
 use std::collections::BTreeMap;
-use traybend::api::*;
 
 fn run_out(rig: &mut Rig, until: Micros) -> Vec<(Micros, (u64, bool))> {
     let mut found = Vec::new();
@@ -92,7 +92,7 @@
     s.discovery = Discovery::OnRequest { ask_within: 10_000 * MS };
     let watches = |actions: &[Action]| actions.iter().filter(|a| **a == Action::Watch).count();
     let mut rig =
-        Rig { d: traybend::decide::Dispatcher::new(s, 1).unwrap(), now: START, expires_in: 0, work: None };
+        Rig { d: fordrelay::decide::Dispatcher::new(s, 1).unwrap(), now: START, expires_in: 0, work: None };
     assert_eq!(watches(&rig.list(ListKind::Inherited, vec![listing(0)])), 1);
     for _ in 0..20 {
         assert_eq!(watches(&rig.event(Event::ListFailed)), 0, "paced");
--- a/tests/wire.rs
+++ b/tests/wire.rs
@@ -1,8 +1,8 @@
 //! The wire: lines written for the test in, replies out, through the host and the real program.
 
+use fordrelay::wire::Host;
 use std::io::Write;
 use std::process::{Command, Output, Stdio};
-use traybend::wire::Host;
 
 const FACTS: &str = r#"{"allowed":{"attempts-cap":5,"may-cancel":true,"probes":true,"second-copies":false,
 "retry-after":true,"max-retry-after-ms":2000.0},"az":0,"classes":[{"effect":"pure","group":"all",
@@ -92,7 +92,7 @@
 }
 
 fn drill(input: &str) -> Output {
-    let mut child = Command::new(env!("CARGO_BIN_EXE_traybend-drill"))
+    let mut child = Command::new(env!("CARGO_BIN_EXE_fordrelay-wirehost"))
         .stdin(Stdio::piped())
         .stdout(Stdio::piped())
         .stderr(Stdio::piped())
@@ -119,7 +119,7 @@
         assert!(!out.status.success());
         let text = String::from_utf8(out.stderr).unwrap();
         assert_eq!(text.lines().count(), 1, "{text}");
-        assert!(text.starts_with("traybend-drill: line 2: "), "{text}");
+        assert!(text.starts_with("fordrelay-wirehost: line 2: "), "{text}");
         assert_eq!(String::from_utf8(out.stdout).unwrap().lines().count(), 1, "nothing half-written");
     }
 }
