--- /dev/null
+++ b/src/net/state/flows.rs
@@ -0,0 +1,65 @@
+//! The flows taken and not yet done with.
+
+use super::ConnId;
+use crate::api::{JobId, Micros};
+use std::collections::HashMap;
+
+/// One flow.
+#[derive(Debug)]
+pub(super) struct Flow {
+    /// When its client stops waiting.
+    pub expires: Micros,
+    /// Attempts that the decisions have asked for.
+    pub attempts: u32,
+    /// The connection of the attempt that is out.
+    pub out: Option<ConnId>,
+    /// It has its final answer, or nobody waits for one.
+    pub over: bool,
+}
+
+/// All of them.
+#[derive(Debug, Default)]
+pub(super) struct Flows {
+    flows: HashMap<JobId, Flow>,
+}
+
+impl Flows {
+    pub fn take(&mut self, id: JobId, expires: Micros) {
+        self.flows.insert(id, Flow { expires, attempts: 0, out: None, over: false });
+    }
+
+    pub fn get_mut(&mut self, id: JobId) -> Option<&mut Flow> {
+        self.flows.get_mut(&id)
+    }
+
+    /// Whether the flow still waits for its answer.
+    pub fn waiting(&self, id: JobId) -> bool {
+        self.flows.get(&id).is_some_and(|f| !f.over)
+    }
+
+    /// Marks the flow as over; tells whether it was not before.
+    pub fn finish(&mut self, id: JobId) -> bool {
+        let first = self.flows.get_mut(&id).is_some_and(|f| !std::mem::replace(&mut f.over, true));
+        self.forget(id);
+        first
+    }
+
+    /// The flow's attempt is not out any more.
+    pub fn back(&mut self, id: JobId) {
+        if let Some(flow) = self.flows.get_mut(&id) {
+            flow.out = None;
+        }
+        self.forget(id);
+    }
+
+    fn forget(&mut self, id: JobId) {
+        if self.flows.get(&id).is_some_and(|f| f.over && f.out.is_none()) {
+            self.flows.remove(&id);
+        }
+    }
+
+    #[cfg(test)]
+    pub fn len(&self) -> usize {
+        self.flows.len()
+    }
+}
--- /dev/null
+++ b/src/net/state/mod.rs
@@ -0,0 +1,165 @@
+//! What is kept in memory, and the one reducer that changes it.
+//!
+//! Tasks report an [`Input`]; [`reduce`] changes the [`State`] and returns each [`Effect`] to carry out. Nothing
+//! here reads a clock, draws a random number, touches a socket or knows what protocol the flows came by.
+
+mod flows;
+mod pool;
+mod reducer;
+mod targets;
+
+pub use reducer::{reduce, State};
+
+use crate::api::{JobId, JobSpec, ListKind, LoadReport, Micros, Outcome, Settings, Status};
+use bytes::Bytes;
+use std::net::SocketAddr;
+
+/// One connection to a target, as the reducer numbers it. A number never returns.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct ConnId(pub u64);
+
+/// What the reducer is told at the start.
+#[derive(Debug, Clone)]
+pub struct Setup {
+    /// For the decisions.
+    pub settings: Settings,
+    /// For their random numbers.
+    pub seed: u64,
+    /// This dispatcher's own number.
+    pub me: u32,
+    /// Connections to targets that may be open together.
+    pub connections: usize,
+    /// A connection to a target that is not up by then has failed.
+    pub connect_timeout: Micros,
+    /// An idle connection to a target is closed after this.
+    pub idle: Micros,
+    /// A probe that is not answered by then has failed.
+    pub probe_timeout: Micros,
+}
+
+/// One target of a list.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Listed {
+    /// Its name, the same at every dispatcher.
+    pub name: String,
+    /// Where it listens.
+    pub addr: SocketAddr,
+    /// Its zone, by number.
+    pub zone: u32,
+    /// Its machine kind, by number.
+    pub kind: u32,
+    /// Its cell.
+    pub cell: u32,
+    /// Whether it takes new work.
+    pub status: Status,
+    /// When it last started; none if long ago.
+    pub started: Option<Micros>,
+}
+
+/// What a task reports.
+#[derive(Debug, Clone)]
+pub enum Input {
+    /// A list of targets, or changes to it.
+    Listed {
+        /// How it relates to the list before.
+        kind: ListKind,
+        /// Its version.
+        version: u64,
+        /// Its entries.
+        entries: Vec<Listed>,
+    },
+    /// The watch on the list has failed and ended.
+    ListFailed,
+    /// A flow was taken; its id is new.
+    Taken(JobSpec),
+    /// The client of a flow has gone before its answer.
+    Left(JobId),
+    /// A connection is up and can carry something.
+    Up(ConnId),
+    /// A connection has carried its exchange to the end and can carry the next.
+    Free(ConnId),
+    /// A connection is closed on this side. Reported once for each that was opened, whatever came of it.
+    Closed {
+        /// The connection.
+        conn: ConnId,
+        /// What was being sent on it when it broke was certainly not sent whole.
+        unsent: bool,
+    },
+    /// The target has begun the job.
+    Started(ConnId),
+    /// The target has come this far with the job.
+    Progress(ConnId, f64),
+    /// The target's last word on a job or a probe.
+    Ended {
+        /// The connection.
+        conn: ConnId,
+        /// What it said.
+        outcome: Outcome,
+        /// What the client gets, if it was done.
+        result: Option<Bytes>,
+        /// The target's load report.
+        report: Option<LoadReport>,
+    },
+    /// A message from another dispatcher.
+    Told {
+        /// Its number.
+        from: u32,
+        /// What it sent.
+        message: Vec<u8>,
+    },
+    /// The time that [`State::wake_at`] named has come.
+    Tick,
+}
+
+/// The one final answer to a flow.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Answer {
+    /// What the target made of it.
+    Served(Bytes),
+    /// Not served, and trying again is harmless.
+    Refused {
+        /// Advice when to come again.
+        retry_after: Option<Micros>,
+    },
+    /// Not served, and it may have run.
+    Failed,
+}
+
+/// What the reducer asks for.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Effect {
+    /// Open a connection.
+    Open {
+        /// Its number.
+        conn: ConnId,
+        /// Where to.
+        addr: SocketAddr,
+    },
+    /// Send a flow's request on a connection that is up and free.
+    Send {
+        /// The connection.
+        conn: ConnId,
+        /// The flow.
+        flow: JobId,
+        /// How long this dispatcher will wait.
+        wait: Micros,
+    },
+    /// Ask for the target's load on a connection that is up and free.
+    Probe(ConnId),
+    /// Close a connection, whatever it carries.
+    Close(ConnId),
+    /// Answer a flow.
+    Answer {
+        /// The flow.
+        flow: JobId,
+        /// Its answer.
+        answer: Answer,
+    },
+    /// Watch the list for what is newer than this version, until a call fails.
+    Watch {
+        /// The version held; with none the whole list is wanted.
+        after: Option<u64>,
+    },
+    /// Send this to every other dispatcher.
+    Tell(Vec<u8>),
+}
--- /dev/null
+++ b/src/net/state/reducer.rs
@@ -0,0 +1,337 @@
+//! The one place that changes the state.
+
+use super::flows::Flows;
+use super::pool::{Load, Pool, Stage};
+use super::targets::TargetGroup;
+use super::{Answer, ConnId, Effect, Input, Setup};
+use crate::api::{Action, Event, JobId, LoadReport, Micros, Outcome, Reports, SettingsError, WorkerId};
+use crate::decide::Dispatcher;
+use crate::told;
+use bytes::Bytes;
+use std::collections::VecDeque;
+use tracing::debug;
+
+/// How long a connection may take for the last bytes after a target's last word.
+const SETTLE: Micros = 1_000_000;
+
+/// All that a dispatcher keeps.
+#[derive(Debug)]
+pub struct State {
+    setup: Setup,
+    dispatcher: Dispatcher,
+    flows: Flows,
+    targets: TargetGroup,
+    pool: Pool,
+    wake: Option<Micros>,
+}
+
+impl State {
+    /// A state that knows of no target and no flow.
+    ///
+    /// # Errors
+    /// What makes the settings unusable.
+    pub fn new(setup: Setup) -> Result<Self, SettingsError> {
+        let dispatcher = Dispatcher::new(setup.settings.clone(), setup.seed)?;
+        let (flows, targets, pool) = Default::default();
+        Ok(State { setup, dispatcher, flows, targets, pool, wake: None })
+    }
+
+    /// When an [`Input::Tick`] is wanted next.
+    pub fn wake_at(&self) -> Option<Micros> {
+        [self.wake, self.pool.next_deadline()].into_iter().flatten().min()
+    }
+}
+
+/// Takes one input at a time `now`, which never runs back, and returns what to do, in order.
+pub fn reduce(state: &mut State, now: Micros, input: Input) -> Vec<Effect> {
+    let mut turn = Turn { state, now, effects: Vec::new(), events: VecDeque::new() };
+    turn.take(input);
+    turn.settle();
+    turn.run_due();
+    turn.effects
+}
+
+/// One call of the reducer: events for the decisions are queued, so that none is delivered amid another.
+struct Turn<'a> {
+    state: &'a mut State,
+    now: Micros,
+    effects: Vec<Effect>,
+    events: VecDeque<Event>,
+}
+
+impl Turn<'_> {
+    fn take(&mut self, input: Input) {
+        match input {
+            Input::Listed { kind, version, entries } => {
+                let (entries, stale) = self.state.targets.update(kind, version, entries);
+                stale.into_iter().for_each(|target| self.close_idle(target));
+                self.events.push_back(Event::Listed { kind, entries });
+            }
+            Input::ListFailed => self.events.push_back(Event::ListFailed),
+            Input::Taken(spec) => {
+                self.state.flows.take(spec.id, spec.expires);
+                self.events.push_back(Event::Job(spec));
+            }
+            Input::Left(flow) => {
+                if self.state.flows.finish(flow) {
+                    self.events.push_back(Event::ClientGone(flow));
+                }
+            }
+            Input::Up(conn) => self.up(conn),
+            Input::Free(conn) => self.free(conn),
+            Input::Closed { conn, unsent } => self.closed(conn, unsent),
+            Input::Started(conn) => {
+                if let Some((job, attempt, worker)) = self.attempt(conn) {
+                    self.events.push_back(Event::Started { job, attempt, worker });
+                }
+            }
+            Input::Progress(conn, done) => {
+                if let Some((job, attempt, worker)) = self.attempt(conn) {
+                    self.events.push_back(Event::Progress { job, attempt, worker, done });
+                }
+            }
+            Input::Ended { conn, outcome, result, report } => self.last_word(conn, outcome, result, report),
+            Input::Told { from, message } => {
+                // To all means to this dispatcher too; a number out of range is nobody's.
+                if from != self.state.setup.me && from < self.state.setup.settings.dispatchers {
+                    let known = |(mark, slots)| Some((self.state.targets.marked(mark)?, slots));
+                    let held = told::entries(&message).filter_map(known).collect();
+                    self.events.push_back(Event::Told { from, held });
+                }
+            }
+            Input::Tick => {}
+        }
+    }
+
+    /// Delivers what is queued, and does what the decisions ask for.
+    fn settle(&mut self) {
+        let mut actions = Vec::new();
+        while let Some(event) = self.events.pop_front() {
+            self.state.dispatcher.handle(self.now, event, &mut actions);
+            for action in actions.drain(..) {
+                self.act(action);
+            }
+        }
+    }
+
+    /// What is due by now: the decisions come first, so that they answer a flow before its time is up.
+    fn run_due(&mut self) {
+        if self.state.wake.is_some_and(|at| at <= self.now) {
+            self.state.wake = None;
+            self.events.push_back(Event::Wake);
+            self.settle();
+        }
+        while let Some(conn) = self.state.pool.due(self.now) {
+            self.time_up(conn);
+            self.settle();
+        }
+    }
+
+    fn act(&mut self, action: Action) {
+        match action {
+            Action::Push { job, worker } => self.push(job, worker),
+            Action::Cancel { job, attempt } => self.cancel(job, attempt),
+            Action::Refuse { job, retry_after } => self.answer(job, Answer::Refused { retry_after }),
+            Action::Fail { job } => self.answer(job, Answer::Failed),
+            Action::Probe { worker } => self.carry(worker, Load::Probe),
+            Action::CloseIdle { worker } => self.close_idle(worker),
+            Action::Tell { held } => {
+                let entry = |(worker, slots): &(WorkerId, u32)| {
+                    Some(told::entry(told::mark(&self.state.targets.get(*worker)?.name), *slots))
+                };
+                let message: Vec<u8> = held.iter().filter_map(entry).flatten().collect();
+                self.effects.push(Effect::Tell(message));
+            }
+            Action::Watch => self.effects.push(Effect::Watch { after: self.state.targets.version }),
+            Action::WakeAt(at) => self.state.wake = Some(self.state.wake.map_or(at, |w| w.min(at))),
+        }
+    }
+
+    fn answer(&mut self, flow: JobId, answer: Answer) {
+        if self.state.flows.finish(flow) {
+            self.effects.push(Effect::Answer { flow, answer });
+        }
+    }
+
+    fn push(&mut self, job: JobId, worker: WorkerId) {
+        let Some(flow) = self.state.flows.get_mut(job) else { return };
+        let attempt = flow.attempts;
+        flow.attempts += 1;
+        self.carry(worker, Load::Attempt(job, attempt));
+    }
+
+    /// Finds a connection for it: the idle one used last, or a new one if the limit leaves room.
+    fn carry(&mut self, target: WorkerId, load: Load) {
+        let Some(addr) = self.state.targets.get(target).map(|t| t.addr) else {
+            return self.ended(target, load, Outcome::NotSent, None);
+        };
+        if let Some(conn) = self.state.pool.idle_at(target) {
+            return self.send(conn, load);
+        }
+        if self.state.pool.len() >= self.state.setup.connections {
+            // The place is free once that one is closed: the limit holds on the sockets, too.
+            if let Some(longest) = self.state.pool.idle_longest() {
+                self.close(longest, None);
+            }
+            return self.ended(target, load, Outcome::NotSent, None);
+        }
+        let until = self.patience(load).min(self.now + self.state.setup.connect_timeout);
+        let conn = self.state.pool.open(target, load, until);
+        if let Load::Attempt(flow, _) = load {
+            self.state.flows.get_mut(flow).into_iter().for_each(|f| f.out = Some(conn));
+        }
+        self.effects.push(Effect::Open { conn, addr });
+    }
+
+    /// When this dispatcher stops waiting for it.
+    fn patience(&mut self, load: Load) -> Micros {
+        match load {
+            Load::Attempt(flow, _) => self.state.flows.get_mut(flow).map_or(self.now, |f| f.expires),
+            Load::Probe => self.now + self.state.setup.probe_timeout,
+        }
+    }
+
+    fn send(&mut self, conn: ConnId, load: Load) {
+        let until = self.patience(load);
+        self.state.pool.set(conn, Stage::Busy(load), Some(until));
+        self.effects.push(match load {
+            Load::Attempt(flow, _) => {
+                self.state.flows.get_mut(flow).into_iter().for_each(|f| f.out = Some(conn));
+                Effect::Send { conn, flow, wait: until.saturating_sub(self.now) }
+            }
+            Load::Probe => Effect::Probe(conn),
+        });
+    }
+
+    /// The list may have changed, or the flow ended, while the connection was being opened: look again.
+    fn up(&mut self, conn: ConnId) {
+        let Some((target, stage)) = self.state.pool.get(conn).map(|c| (c.target, c.stage)) else { return };
+        let Stage::Opening(load) = stage else { return };
+        let wanted = match load {
+            Load::Attempt(flow, _) => self.state.flows.waiting(flow),
+            Load::Probe => true,
+        };
+        if wanted && self.state.targets.ready(target) {
+            return self.send(conn, load);
+        }
+        self.free(conn);
+        self.ended(target, load, Outcome::NotSent, None);
+    }
+
+    fn free(&mut self, conn: ConnId) {
+        let Some((target, stage)) = self.state.pool.get(conn).map(|c| (c.target, c.stage)) else { return };
+        match stage {
+            Stage::Opening(_) | Stage::Settling if self.state.targets.ready(target) => {
+                let until = self.now + self.state.setup.idle;
+                self.state.pool.set(conn, Stage::Idle, Some(until));
+            }
+            Stage::Opening(_) | Stage::Settling => self.close(conn, None),
+            Stage::Busy(_) | Stage::Idle | Stage::Closing(_) => {}
+        }
+    }
+
+    fn close(&mut self, conn: ConnId, ending: Option<(Load, Outcome)>) {
+        self.state.pool.set(conn, Stage::Closing(ending), None);
+        self.effects.push(Effect::Close(conn));
+    }
+
+    fn close_idle(&mut self, target: WorkerId) {
+        for conn in self.state.pool.all_idle_at(target) {
+            self.close(conn, None);
+        }
+    }
+
+    /// The next attempt may follow only once this one's connection is closed: the outcome waits for that.
+    fn cancel(&mut self, job: JobId, attempt: u32) {
+        let Some(conn) = self.state.flows.get_mut(job).and_then(|f| f.out) else { return };
+        match self.state.pool.get(conn).map(|c| c.stage) {
+            Some(Stage::Opening(load)) if load == Load::Attempt(job, attempt) => {
+                self.close(conn, Some((load, Outcome::NotSent)));
+            }
+            Some(Stage::Busy(load)) if load == Load::Attempt(job, attempt) => {
+                self.close(conn, Some((load, Outcome::Cancelled)));
+            }
+            _ => {}
+        }
+    }
+
+    fn time_up(&mut self, conn: ConnId) {
+        let Some(stage) = self.state.pool.get(conn).map(|c| c.stage) else { return };
+        match stage {
+            Stage::Opening(load) => self.close(conn, Some((load, Outcome::ConnectFailed))),
+            Stage::Busy(load) => self.close(conn, Some((load, Outcome::TimedOut))),
+            Stage::Settling | Stage::Idle => self.close(conn, None),
+            Stage::Closing(_) => self.state.pool.set(conn, stage, None),
+        }
+    }
+
+    fn closed(&mut self, conn: ConnId, unsent: bool) {
+        let Some(gone) = self.state.pool.remove(conn) else { return };
+        let (load, outcome) = match gone.stage {
+            Stage::Opening(load) => (load, Outcome::ConnectFailed),
+            Stage::Busy(load) if unsent => (load, Outcome::ConnectFailed),
+            Stage::Busy(load) => (load, Outcome::Reset),
+            Stage::Closing(Some(ending)) => ending,
+            Stage::Closing(None) | Stage::Settling | Stage::Idle => return,
+        };
+        self.ended(gone.target, load, outcome, None);
+    }
+
+    /// A last word that crosses the closing still counts: it says more than that nobody waited for it.
+    fn last_word(
+        &mut self,
+        conn: ConnId,
+        outcome: Outcome,
+        result: Option<Bytes>,
+        report: Option<LoadReport>,
+    ) {
+        let Some((target, stage)) = self.state.pool.get(conn).map(|c| (c.target, c.stage)) else { return };
+        let load = match stage {
+            Stage::Busy(load) => {
+                self.state.pool.set(conn, Stage::Settling, Some(self.now + SETTLE));
+                load
+            }
+            Stage::Closing(Some((load, _))) => {
+                self.state.pool.set(conn, Stage::Closing(None), None);
+                load
+            }
+            Stage::Opening(_) | Stage::Settling | Stage::Idle | Stage::Closing(None) => return,
+        };
+        let outcome = match (load, result) {
+            (Load::Attempt(flow, _), Some(result)) => {
+                self.answer(flow, Answer::Served(result));
+                Outcome::Done
+            }
+            // Done without a result is nothing that a client could be given.
+            (Load::Attempt(..), None) if outcome == Outcome::Done => Outcome::Error,
+            _ => outcome,
+        };
+        self.ended(target, load, outcome, report);
+    }
+
+    /// Tells the decisions how it ended.
+    fn ended(&mut self, worker: WorkerId, load: Load, outcome: Outcome, report: Option<LoadReport>) {
+        let reports = self.state.setup.settings.reports;
+        match load {
+            Load::Attempt(job, attempt) => {
+                debug!(flow = job.0, attempt, target = worker.0, ?outcome, "attempt ended");
+                let finished = !self.state.flows.waiting(job);
+                self.state.flows.back(job);
+                let report = report.filter(|_| reports == Reports::Outcomes);
+                self.events.push_back(Event::Ended { job, attempt, worker, outcome, finished, report });
+            }
+            Load::Probe => {
+                let report = report.filter(|_| reports != Reports::None);
+                self.events.push_back(Event::Probed { worker, outcome, report });
+            }
+        }
+    }
+
+    fn attempt(&self, conn: ConnId) -> Option<(JobId, u32, WorkerId)> {
+        let conn = self.state.pool.get(conn)?;
+        match conn.stage {
+            Stage::Busy(Load::Attempt(job, attempt)) => Some((job, attempt, conn.target)),
+            _ => None,
+        }
+    }
+}
--- /dev/null
+++ b/src/net/wire/discovery.rs
@@ -0,0 +1,197 @@
+//! The client of discovery: asks for the list of targets and watches it.
+
+use super::Desk;
+use crate::api::{ListKind, Status};
+use crate::net::lifecycle::clock::Clock;
+use crate::net::state::{Input, Listed};
+use bytes::Bytes;
+use http_body_util::{BodyExt, Empty, Limited};
+use hyper::client::conn::http1::{self, SendRequest};
+use hyper::{Request, StatusCode};
+use hyper_util::rt::TokioIo;
+use serde::Deserialize;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::net::TcpStream;
+use tokio::sync::mpsc;
+use tokio::time::timeout;
+use tracing::{debug, info, warn};
+
+/// How long a watch asks discovery to wait.
+const WATCH_WAIT: Duration = Duration::from_secs(8);
+/// How long an answer may take beyond that.
+const ANSWER_WAIT: Duration = Duration::from_millis(1_500);
+/// How long a connection may take.
+const CONNECT_WAIT: Duration = Duration::from_millis(1_000);
+/// Largest list that is read.
+const LARGEST_LIST: usize = 8 * 1024 * 1024;
+
+/// The list as discovery writes it, and as the configuration holds it.
+#[derive(Debug, Clone, Deserialize)]
+pub struct List {
+    /// Its version.
+    pub version: u64,
+    /// Whether it is the whole list.
+    pub full: bool,
+    /// Its entries.
+    pub servers: Vec<Entry>,
+}
+
+impl List {
+    /// What is known before anything is.
+    pub fn none() -> Self {
+        List { version: 0, full: true, servers: vec![] }
+    }
+}
+
+/// One target of the list.
+#[derive(Debug, Clone, Deserialize)]
+pub struct Entry {
+    id: String,
+    addr: SocketAddr,
+    #[serde(default)]
+    zone: String,
+    #[serde(default)]
+    kind: String,
+    #[serde(default)]
+    cell: u32,
+    state: State,
+    #[serde(default)]
+    started_ms: f64,
+}
+
+#[derive(Debug, Clone, Copy, Deserialize)]
+#[serde(rename_all = "lowercase")]
+enum State {
+    Ready,
+    Draining,
+    Gone,
+}
+
+/// What the names in a list count as.
+#[derive(Debug, Clone)]
+pub struct Places {
+    /// Names of the zones, in the settings' order.
+    pub zones: Vec<String>,
+    /// Names of the machine kinds, likewise.
+    pub kinds: Vec<String>,
+    /// What Unix time is on the dispatcher's clock.
+    pub clock: Clock,
+}
+
+impl Places {
+    /// The list as the reducer takes it.
+    pub fn input(&self, list: List, inherited: bool) -> Input {
+        // A name that the settings don't hold is none of those that they speak of.
+        let place = |names: &[String], name: &str| {
+            names.iter().position(|n| n == name).map_or(u32::MAX, |at| at as u32)
+        };
+        let entry = |e: Entry| Listed {
+            zone: place(&self.zones, &e.zone),
+            kind: place(&self.kinds, &e.kind),
+            name: e.id,
+            addr: e.addr,
+            cell: e.cell,
+            status: match e.state {
+                State::Ready => Status::Ready,
+                State::Draining => Status::Draining,
+                State::Gone => Status::Gone,
+            },
+            started: (e.started_ms > 0.0).then(|| self.clock.at_unix_ms(e.started_ms)),
+        };
+        let kind = match list.full {
+            _ if inherited => ListKind::Inherited,
+            true => ListKind::Whole,
+            false => ListKind::Changes,
+        };
+        let entries = list.servers.into_iter().map(entry).collect();
+        Input::Listed { kind, version: list.version, entries }
+    }
+}
+
+/// Why a call failed.
+#[derive(Debug, thiserror::Error)]
+enum CallError {
+    #[error("no connection: {0}")]
+    Connect(#[from] std::io::Error),
+    #[error("{0}")]
+    Http(#[from] hyper::Error),
+    #[error("the request could not be formed: {0}")]
+    Request(#[from] hyper::http::Error),
+    #[error("the answer did not come whole: {0}")]
+    Body(Box<dyn std::error::Error + Send + Sync>),
+    #[error("answered with status {0}")]
+    Status(StatusCode),
+    #[error("a malformed list: {0}")]
+    List(#[from] serde_json::Error),
+    #[error("no answer in time")]
+    Silent(#[from] tokio::time::error::Elapsed),
+}
+
+/// Watches the list each time that it is told to, until a call fails.
+pub async fn watch(
+    addr: SocketAddr,
+    places: Places,
+    desk: Rc<Desk>,
+    mut wanted: mpsc::UnboundedReceiver<Option<u64>>,
+) {
+    let mut sender = None;
+    while let Some(mut after) = wanted.recv().await {
+        info!(?after, "watching the list");
+        loop {
+            match call(addr, after, &mut sender).await {
+                Ok(list) => {
+                    debug!(version = list.version, full = list.full, entries = list.servers.len(), "list");
+                    after = Some(list.version);
+                    desk.report(places.input(list, false));
+                }
+                Err(e) => {
+                    warn!("a call to discovery failed: {e}");
+                    sender = None;
+                    desk.report(Input::ListFailed);
+                    break;
+                }
+            }
+        }
+    }
+}
+
+type Sender = SendRequest<Empty<Bytes>>;
+
+async fn call(addr: SocketAddr, after: Option<u64>, kept: &mut Option<Sender>) -> Result<List, CallError> {
+    let mut sender = match kept.take() {
+        Some(sender) if !sender.is_closed() => sender,
+        _ => {
+            let stream = timeout(CONNECT_WAIT, TcpStream::connect(addr)).await??;
+            stream.set_nodelay(true)?;
+            let (sender, conn) = http1::handshake(TokioIo::new(stream)).await?;
+            // It ends when its sender is dropped, or with an error that the sender reports as well.
+            tokio::task::spawn_local(async { conn.await.unwrap_or_else(|e| debug!("discovery: {e}")) });
+            sender
+        }
+    };
+    let (path, wait) = match after {
+        Some(version) => {
+            let wait = WATCH_WAIT.as_millis();
+            (format!("/v1/endpoints?index={version}&wait={wait}"), WATCH_WAIT + ANSWER_WAIT)
+        }
+        None => ("/v1/endpoints".to_owned(), ANSWER_WAIT + ANSWER_WAIT),
+    };
+    let request = Request::builder().uri(path).header("host", addr.to_string()).body(Empty::new())?;
+    let answer = async {
+        sender.ready().await?;
+        let response = sender.send_request(request).await?;
+        let status = response.status();
+        let body =
+            Limited::new(response.into_body(), LARGEST_LIST).collect().await.map_err(CallError::Body)?;
+        Ok::<_, CallError>((status, body.to_bytes()))
+    };
+    let (status, body) = timeout(wait, answer).await??;
+    if status != StatusCode::OK {
+        return Err(CallError::Status(status));
+    }
+    let list = serde_json::from_slice(&body)?;
+    *kept = Some(sender);
+    Ok(list)
+}
--- /dev/null
+++ b/src/net/wire/report.rs
@@ -0,0 +1,23 @@
+//! Load reports as targets write them.
+
+use crate::api::LoadReport;
+use serde_json::{Map, Value};
+
+/// The names that the fields of a load report may have: the simulator's and the settings'.
+#[derive(Debug, Clone, Default)]
+pub struct ReportNames {
+    /// `x0` counts free slots.
+    pub x0_is_slots: bool,
+}
+
+impl ReportNames {
+    /// Reads a report; a field that is absent or no number is not known.
+    pub fn read(&self, fields: &Map<String, Value>) -> LoadReport {
+        let number = |names: [&str; 2]| names.iter().find_map(|n| fields.get(*n)).and_then(Value::as_f64);
+        LoadReport {
+            free_slots: number(["x0", "x0"]).filter(|_| self.x0_is_slots),
+            queued: number(["queue", "depth"]),
+            outstanding: number(["inflight", "concurrent"]),
+        }
+    }
+}
--- /dev/null
+++ b/src/net/wire/target.rs
@@ -0,0 +1,325 @@
+//! The target client: one task for each connection, from its opening to its closing.
+
+use super::io::Counted;
+use super::{seconds, Desk, Passed, ReportNames};
+use crate::api::{LoadReport, Micros, Outcome};
+use crate::net::state::{ConnId, Input};
+use bytes::{Bytes, BytesMut};
+use http_body_util::{BodyExt, Full};
+use hyper::body::Incoming;
+use hyper::client::conn::http1::{self, SendRequest};
+use hyper::{Method, Request, Response, StatusCode};
+use hyper_util::rt::TokioIo;
+use serde::Deserialize;
+use serde_json::value::RawValue;
+use serde_json::{Map, Value};
+use std::cell::Cell;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use tokio::net::TcpStream;
+use tokio::sync::mpsc;
+use tracing::{debug, warn};
+
+/// Longest answer that a target may give; a result of 64 KiB fits even if each byte is escaped.
+const LONGEST_ANSWER: usize = 512 * 1024;
+
+/// What a connection is to do next. Dropping the sender closes the connection at once.
+pub(super) enum Order {
+    Job { passed: Rc<Passed>, wait: Micros },
+    Probe,
+}
+
+/// How an exchange ended.
+struct LastWord {
+    outcome: Outcome,
+    result: Option<Bytes>,
+    report: Option<LoadReport>,
+}
+
+/// Why an exchange has no last word, or can't be followed by another.
+#[derive(Debug, thiserror::Error)]
+enum Broken {
+    #[error("{0}")]
+    Http(#[from] hyper::Error),
+    #[error("a request could not be formed: {0}")]
+    Request(#[from] hyper::http::Error),
+    #[error("a malformed line: {0}")]
+    Line(#[from] serde_json::Error),
+    #[error("a line about another request")]
+    Foreign,
+    #[error("an answer that is too long")]
+    TooLong,
+    #[error("an answer that ends before its last line")]
+    CutShort,
+}
+
+impl Broken {
+    /// What the target said made no sense, as against: it broke off.
+    fn nonsense(&self) -> bool {
+        matches!(self, Broken::Line(_) | Broken::Foreign | Broken::TooLong)
+    }
+}
+
+/// Opens a connection, carries out orders, and reports once when it is closed.
+pub(super) async fn connection(
+    id: ConnId,
+    addr: SocketAddr,
+    mut orders: mpsc::UnboundedReceiver<Order>,
+    desk: Rc<Desk>,
+) {
+    // A request that has written less than this is certainly not whole; while none is on its way, any is not.
+    let (written, whole) = (Rc::new(Cell::new(0)), Cell::new(u64::MAX));
+    tokio::select! {
+        biased;
+        // Nothing is ordered before the connection is up, so an end of orders is all that can come.
+        _ = orders.recv() => {}
+        stream = TcpStream::connect(addr) => match stream {
+            Ok(stream) => serve(id, stream, &mut orders, &desk, &written, &whole).await,
+            Err(e) => debug!(%addr, "can't connect: {e}"),
+        }
+    }
+    // The socket is closed by now: the next attempt may follow.
+    desk.report(Input::Closed { conn: id, unsent: written.get() < whole.get() });
+}
+
+async fn serve(
+    id: ConnId,
+    stream: TcpStream,
+    orders: &mut mpsc::UnboundedReceiver<Order>,
+    desk: &Desk,
+    written: &Rc<Cell<u64>>,
+    whole: &Cell<u64>,
+) {
+    if let Err(e) = stream.set_nodelay(true) {
+        debug!("can't set TCP_NODELAY: {e}");
+    }
+    let io = TokioIo::new(Counted::new(stream, Rc::clone(written)));
+    let Ok((mut sender, conn)) = http1::handshake::<_, Full<Bytes>>(io).await else { return };
+    tokio::pin!(conn);
+    desk.report(Input::Up(id));
+    loop {
+        let order = tokio::select! {
+            biased;
+            order = orders.recv() => order,
+            _ = &mut conn => None,
+        };
+        let Some(order) = order else { return };
+        written.set(0);
+        whole.set(match &order {
+            // More than this is written for certain by the time that a request is whole.
+            Order::Job { passed, .. } => (passed.uri.to_string().len() + passed.body.len()) as u64,
+            Order::Probe => 1,
+        });
+        let mut closed = false;
+        let done = {
+            let exchange = exchange(id, order, &mut sender, desk);
+            tokio::pin!(exchange);
+            loop {
+                tokio::select! {
+                    biased;
+                    done = &mut exchange => break done,
+                    // What has come in is still to be read when the connection has ended.
+                    _ = &mut conn, if !closed => closed = true,
+                    // Nothing is ordered on a busy connection, so this is its closing.
+                    _ = orders.recv() => return,
+                }
+            }
+        };
+        match done {
+            Ok(()) if !closed => {
+                whole.set(u64::MAX);
+                let ready = tokio::select! {
+                    biased;
+                    ready = sender.ready() => ready.is_ok(),
+                    _ = &mut conn => false,
+                    _ = orders.recv() => false,
+                };
+                if !ready {
+                    return;
+                }
+                desk.report(Input::Free(id));
+            }
+            Ok(()) => return,
+            Err(e) => return debug!(conn = id.0, "exchange broke: {e}"),
+        }
+    }
+}
+
+/// One request and its answer, to the end of the body.
+async fn exchange(
+    id: ConnId,
+    order: Order,
+    sender: &mut SendRequest<Full<Bytes>>,
+    desk: &Desk,
+) -> Result<(), Broken> {
+    let result = match &order {
+        Order::Job { passed, wait } => job(id, passed, *wait, sender, desk).await,
+        Order::Probe => probe(id, sender, desk).await,
+    };
+    if let Err(e) = &result {
+        if e.nonsense() {
+            warn!(conn = id.0, "a target answered nonsense: {e}");
+            desk.report(ended(id, LastWord { outcome: Outcome::Error, result: None, report: None }));
+        }
+    }
+    result
+}
+
+fn ended(conn: ConnId, word: LastWord) -> Input {
+    Input::Ended { conn, outcome: word.outcome, result: word.result, report: word.report }
+}
+
+async fn job(
+    id: ConnId,
+    passed: &Passed,
+    wait: Micros,
+    sender: &mut SendRequest<Full<Bytes>>,
+    desk: &Desk,
+) -> Result<(), Broken> {
+    let mut request = Request::builder()
+        .method(passed.method.clone())
+        .uri(passed.uri.clone())
+        .header("host", "target")
+        .header("req-id", passed.id.clone())
+        .header("req-deadline", seconds(wait));
+    if let Some(key) = &passed.key {
+        request = request.header("idempotency-key", key.clone());
+    }
+    let response = sender.send_request(request.body(Full::new(passed.body.clone()))?).await?;
+    if response.status() != StatusCode::OK {
+        let declined = response.headers().get("srv-declined").is_some_and(|v| v.as_bytes() == b"1");
+        let outcome = match response.status() {
+            StatusCode::SERVICE_UNAVAILABLE | StatusCode::GATEWAY_TIMEOUT if declined => Outcome::Full,
+            _ => Outcome::Error,
+        };
+        let report = header_report(&response, &desk.names);
+        desk.report(ended(id, LastWord { outcome, result: None, report }));
+        return collect(response.into_body()).await.map(drop);
+    }
+    let report = header_report(&response, &desk.names);
+    let mut over = false;
+    body(response.into_body(), |line| {
+        // After its last line nothing that a target says counts.
+        if let Some(mut word) = if over { None } else { follow(id, passed, line, desk)? } {
+            over = true;
+            word.report = word.report.or(report);
+            desk.report(ended(id, word));
+        }
+        Ok(over)
+    })
+    .await
+}
+
+fn header_report(response: &Response<Incoming>, names: &ReportNames) -> Option<LoadReport> {
+    let text = response.headers().get("srv-load")?.to_str().ok()?;
+    let fields: Map<String, Value> = serde_json::from_str(text).ok()?;
+    Some(names.read(&fields))
+}
+
+/// One line of a target about a job.
+#[derive(Debug, Deserialize)]
+struct Line<'a> {
+    id: &'a str,
+    state: &'a str,
+    #[serde(default)]
+    share: f64,
+    #[serde(borrow)]
+    result: Option<&'a RawValue>,
+    load: Option<Map<String, Value>>,
+}
+
+/// Reports what a line says; the last line is returned.
+fn follow(id: ConnId, passed: &Passed, line: &[u8], desk: &Desk) -> Result<Option<LastWord>, Broken> {
+    let line: Line = serde_json::from_slice(line)?;
+    if line.id.as_bytes() != passed.id.as_bytes() {
+        return Err(Broken::Foreign);
+    }
+    let report = line.load.map(|fields| desk.names.read(&fields));
+    let last = |outcome| Some(LastWord { outcome, result: None, report });
+    Ok(match line.state {
+        "started" => {
+            desk.report(Input::Started(id));
+            None
+        }
+        "running" => {
+            desk.report(Input::Progress(id, line.share));
+            None
+        }
+        "done" => {
+            let raw = line.result.map_or("", RawValue::get);
+            // A text is what it says, anything else is itself.
+            let result = match serde_json::from_str::<String>(raw) {
+                Ok(text) => Bytes::from(text),
+                Err(_) => Bytes::copy_from_slice(raw.as_bytes()),
+            };
+            Some(LastWord { outcome: Outcome::Done, result: Some(result), report })
+        }
+        "failed" => last(Outcome::Error),
+        "returned" => last(Outcome::Full),
+        "lost" => last(Outcome::Reset),
+        other => {
+            warn!(conn = id.0, state = other, "a line with an unknown state is passed over");
+            None
+        }
+    })
+}
+
+/// Hands each line of a body over, and fails if it ends before one that was the last.
+async fn body(mut body: Incoming, mut take: impl FnMut(&[u8]) -> Result<bool, Broken>) -> Result<(), Broken> {
+    let (mut kept, mut total, mut over) = (BytesMut::new(), 0, false);
+    while let Some(frame) = body.frame().await {
+        let Ok(data) = frame?.into_data() else { continue };
+        total += data.len();
+        if total > LONGEST_ANSWER {
+            return Err(Broken::TooLong);
+        }
+        kept.extend_from_slice(&data);
+        while let Some(end) = kept.iter().position(|b| *b == b'\n') {
+            let line = kept.split_to(end + 1);
+            if !line.trim_ascii().is_empty() {
+                over = take(line.trim_ascii())?;
+            }
+        }
+    }
+    // The last line may go without its end.
+    if !kept.trim_ascii().is_empty() {
+        over = take(kept.trim_ascii())?;
+    }
+    over.then_some(()).ok_or(Broken::CutShort)
+}
+
+async fn probe(id: ConnId, sender: &mut SendRequest<Full<Bytes>>, desk: &Desk) -> Result<(), Broken> {
+    let request = Request::builder()
+        .method(Method::GET)
+        .uri("/status/load")
+        .header("host", "target")
+        .body(Full::new(Bytes::new()))?;
+    let response = sender.send_request(request).await?;
+    let status = response.status();
+    let mut report = header_report(&response, &desk.names);
+    let text = collect(response.into_body()).await?;
+    let outcome = match status {
+        StatusCode::OK => Outcome::Done,
+        StatusCode::SERVICE_UNAVAILABLE => Outcome::Full,
+        _ => Outcome::Error,
+    };
+    if status == StatusCode::OK && !text.trim_ascii().is_empty() {
+        let fields: Map<String, Value> = serde_json::from_slice(&text)?;
+        report = Some(desk.names.read(&fields));
+    }
+    desk.report(ended(id, LastWord { outcome, result: None, report }));
+    Ok(())
+}
+
+async fn collect(body: Incoming) -> Result<Bytes, Broken> {
+    let mut text = BytesMut::new();
+    let mut body = body;
+    while let Some(frame) = body.frame().await {
+        let Ok(data) = frame?.into_data() else { continue };
+        text.extend_from_slice(&data);
+        if text.len() > LONGEST_ANSWER {
+            return Err(Broken::TooLong);
+        }
+    }
+    Ok(text.freeze())
+}
--- /dev/null
+++ b/src/told.rs
@@ -0,0 +1,25 @@
+//! What dispatchers tell each other: entries of a worker's mark and the slots held there.
+
+/// Longest message between dispatchers.
+pub const MESSAGE_BYTES: usize = 256;
+/// One entry of it: a worker's mark, then slots up to 255.
+pub const ENTRY_BYTES: usize = 5;
+
+/// What dispatchers call a worker among themselves: 32 bits of FNV-1a over its name.
+pub fn mark(name: &str) -> u32 {
+    name.bytes().fold(0x811c_9dc5, |h: u32, b| (h ^ u32::from(b)).wrapping_mul(0x0100_0193))
+}
+
+/// One entry as it is sent.
+pub fn entry(mark: u32, slots: u32) -> [u8; ENTRY_BYTES] {
+    let [a, b, c, d] = mark.to_be_bytes();
+    [a, b, c, d, slots.min(255) as u8]
+}
+
+/// The entries of a message; what is cut short is left out.
+pub fn entries(message: &[u8]) -> impl Iterator<Item = (u32, u32)> + '_ {
+    message.chunks_exact(ENTRY_BYTES).filter_map(|e| match *e {
+        [a, b, c, d, slots] => Some((u32::from_be_bytes([a, b, c, d]), u32::from(slots))),
+        _ => None,
+    })
+}
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -2,6 +2,8 @@
 
 use crate::api::*;
 use crate::decide::Dispatcher;
+use crate::facts::{micros, settings, Facts};
+use crate::told::{self, mark};
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, HashMap};
 use std::panic::{catch_unwind, AssertUnwindSafe};
@@ -135,103 +137,6 @@
     report: Option<Vec<Option<f64>>>,
 }
 
-#[derive(Debug, Deserialize)]
-struct Facts {
-    allowed: Allowed,
-    #[serde(default)]
-    az: u32,
-    classes: Vec<ClassFacts>,
-    #[serde(default)]
-    costs: BTreeMap<String, f64>,
-    #[serde(default)]
-    discovery: String,
-    goal: BTreeMap<String, f64>,
-    #[serde(rename = "over-share-worth")]
-    over_share_worth: Option<f64>,
-    #[serde(rename = "peers-total")]
-    peers_total: u32,
-    report: Option<ReportFacts>,
-    rules: RuleFacts,
-    #[serde(default)]
-    specifics: Specifics,
-    tenants: Option<Vec<TenantFacts>>,
-    #[serde(rename = "tick-ms")]
-    tick: f64,
-    #[serde(rename = "worth-by")]
-    worth_by: Option<String>,
-}
-
-#[derive(Debug, Deserialize)]
-#[serde(rename_all = "kebab-case")]
-struct Allowed {
-    attempts_cap: u32,
-    conn_idle_ms: Option<f64>,
-    #[serde(default)]
-    may_cancel: bool,
-    #[serde(default)]
-    probes: bool,
-    #[serde(default)]
-    peers: bool,
-    #[serde(default)]
-    second_copies: bool,
-    #[serde(default)]
-    retry_after: bool,
-    #[serde(default)]
-    max_retry_after_ms: f64,
-}
-
-#[derive(Debug, Deserialize)]
-#[serde(rename_all = "kebab-case")]
-struct ClassFacts {
-    slo_ms: f64,
-    hard_limit_ms: f64,
-    aim_stretch: Option<f64>,
-    effect: String,
-    group: Option<String>,
-    memory_span_ms: Option<f64>,
-    #[serde(default)]
-    points: f64,
-    late_worth: Option<f64>,
-}
-
-#[derive(Debug, Deserialize)]
-struct ReportFacts {
-    names: Option<Vec<String>>,
-    via: String,
-}
-
-#[derive(Debug, Deserialize)]
-#[serde(rename_all = "kebab-case")]
-struct RuleFacts {
-    cold_ms: f64,
-    fall_ms: f64,
-    must_ask_in_ms: Option<f64>,
-    start_capacity: f64,
-    tip_multiple: f64,
-    spare_attempts: Option<f64>,
-    extra_ratio: Option<f64>,
-    extra_window_ms: Option<f64>,
-    hang_up_within_ms: Option<f64>,
-    full_may_have_run: Option<bool>,
-}
-
-#[derive(Debug, Default, Deserialize)]
-#[serde(rename_all = "kebab-case", default)]
-struct Specifics {
-    class_kind: Vec<i64>,
-    class_stretch: Vec<f64>,
-    progress_ms: f64,
-    report_x0: Option<String>,
-    tells_start: bool,
-}
-
-#[derive(Debug, Deserialize)]
-#[serde(rename_all = "kebab-case")]
-struct TenantFacts {
-    quota_per_s: Option<f64>,
-    portion: Option<f64>,
-}
-
 #[derive(Debug, Serialize)]
 struct Reply<'a> {
     n: u64,
@@ -290,11 +195,6 @@
     },
 }
 
-/// Milliseconds as the wire has them, to whole microseconds; what is not a time counts as 0.
-fn micros(ms: f64) -> Micros {
-    (ms * 1000.0 + 0.5).clamp(0.0, 9.0e15) as Micros
-}
-
 fn millis(t: Micros) -> f64 {
     t as f64 / 1000.0
 }
@@ -313,114 +213,6 @@
     }
 }
 
-/// A stated span: where one is given, it must be one.
-fn stated(ms: f64, name: &'static str) -> Result<Micros, SettingsError> {
-    let sound = ms.is_finite() && ms >= 0.0;
-    sound.then(|| micros(ms)).ok_or(SettingsError::BadFigure(name))
-}
-
-/// None where nothing of it is stated; a figure that needs a window has one, or the settings are at fault.
-fn retry_budget(r: &RuleFacts) -> Result<Option<RetryBudget>, SettingsError> {
-    if r.spare_attempts.is_none() && r.extra_ratio.is_none() && r.extra_window_ms.is_none() {
-        return Ok(None);
-    }
-    let minimum = r.spare_attempts.unwrap_or(0.0);
-    if !(0.0..=f64::from(u32::MAX)).contains(&minimum) {
-        return Err(SettingsError::BadFigure("retry_budget.minimum"));
-    }
-    let window = stated(r.extra_window_ms.unwrap_or(0.0), "retry_budget.window")?;
-    Ok(Some(RetryBudget { minimum: minimum as u32, ratio: r.extra_ratio.unwrap_or(0.0), window }))
-}
-
-fn settings(f: &Facts) -> Result<Settings, SettingsError> {
-    let x = &f.specifics;
-    let class = |(i, c): (usize, &ClassFacts)| Class {
-        aim: micros(c.slo_ms),
-        stretch: c.aim_stretch.or(x.class_stretch.get(i).copied()).unwrap_or(0.0),
-        give_up: micros(c.hard_limit_ms),
-        worth: c.points,
-        late_worth: c.late_worth.unwrap_or(0.0),
-        idempotency: match c.effect.as_str() {
-            "pure" => Idempotency::Safe,
-            "token" => Idempotency::Keyed {
-                scope: match c.group.as_deref() {
-                    Some("all") => Scope::All,
-                    Some("zone") => Scope::Zone,
-                    _ => Scope::Cell,
-                },
-                memory: micros(c.memory_span_ms.unwrap_or(0.0)),
-            },
-            _ => Idempotency::Unsafe,
-        },
-        kind: x.class_kind.get(i).and_then(|k| u32::try_from(*k).ok()),
-    };
-    let tenant = |t: &TenantFacts| Tenant {
-        quota_per_s: t.quota_per_s.unwrap_or(0.0),
-        share: t.portion.unwrap_or(0.0),
-    };
-    let cost = |name: &str| f.costs.get(name).copied().unwrap_or(0.0);
-    let goal = |name: &str| f.goal.get(name).copied().unwrap_or(0.0);
-    Ok(Settings {
-        dispatchers: f.peers_total,
-        zone: f.az,
-        classes: f.classes.iter().enumerate().map(class).collect(),
-        tenants: f.tenants.iter().flatten().map(tenant).collect(),
-        goal: Goal {
-            overall: goal("whole"),
-            worst_window: goal("worst-window"),
-            worst_class: goal("worst-class"),
-            worst_tenant: goal("worst-tenant"),
-        },
-        worth_by_work: f.worth_by.as_deref() == Some("work"),
-        over_share_worth: f.over_share_worth.unwrap_or(1.0),
-        waste_price: cost("waste"),
-        discovery: if f.discovery == "on_request" {
-            Discovery::OnRequest { ask_within: micros(f.rules.must_ask_in_ms.unwrap_or(10_000.0)) }
-        } else {
-            Discovery::Pushed
-        },
-        reports: match f.report.as_ref().map(|r| r.via.as_str()) {
-            Some("answers") => Reports::Outcomes,
-            Some("probe") => Reports::Probes,
-            _ => Reports::None,
-        },
-        start_notices: x.tells_start,
-        progress_every: (x.progress_ms > 0.0).then(|| micros(x.progress_ms)),
-        limits: Limits {
-            attempts: f.allowed.attempts_cap,
-            concurrent_attempts: f.allowed.second_copies,
-            cancel: f.allowed.may_cancel,
-            probe: f.allowed.probes,
-            probe_price: cost("probe"),
-            cross_zone_price: cost("cross-zone"),
-            connect_price: cost("handshake"),
-            connection_idle: micros(f.allowed.conn_idle_ms.unwrap_or(f64::INFINITY)),
-            tell: if f.allowed.peers { MESSAGE_BYTES / ENTRY_BYTES } else { 0 },
-            tell_price: cost("peer") * ENTRY_BYTES as f64 / MESSAGE_BYTES as f64,
-            retry_after: f.allowed.retry_after.then(|| micros(f.allowed.max_retry_after_ms)),
-        },
-        rules: Rules {
-            cold_for: micros(f.rules.cold_ms),
-            start_capacity: f.rules.start_capacity,
-            tip_multiple: f.rules.tip_multiple,
-            tip_window: micros(f.rules.fall_ms),
-            retry_budget: retry_budget(&f.rules)?,
-            refusal_inconclusive: f.rules.full_may_have_run.unwrap_or(false),
-            close_on_drain: f.rules.hang_up_within_ms.map(|t| stated(t, "close_on_drain")).transpose()?,
-        },
-        tick: micros(f.tick),
-    })
-}
-
-/// Longest message between dispatchers, and one entry of it: a worker's mark and slots up to 255.
-const MESSAGE_BYTES: usize = 256;
-const ENTRY_BYTES: usize = 5;
-
-/// What dispatchers call a worker among themselves: 32 bits of FNV-1a over its name.
-fn mark(name: &str) -> u32 {
-    name.bytes().fold(0x811c_9dc5, |h: u32, b| (h ^ u32::from(b)).wrapping_mul(0x0100_0193))
-}
-
 /// Where each value of a load report stands.
 #[derive(Debug, Default)]
 struct ReportLayout {
@@ -475,13 +267,12 @@
 
     /// Entries of unknown workers and what is cut short are left out.
     fn told(&self, m: &Datagram) -> Event {
-        let entry = |at: usize| {
-            let text = m.raw.get(at..at + 2 * ENTRY_BYTES)?;
-            let mark = u32::from_str_radix(text.get(..8)?, 16).ok()?;
-            let slots = u32::from_str_radix(text.get(8..)?, 16).ok()?;
-            Some((*self.marks.get(&mark)?, slots))
-        };
-        let held = (0..m.raw.len()).step_by(2 * ENTRY_BYTES).filter_map(entry).collect();
+        let bytes = m.raw.as_bytes().chunks_exact(2).map_while(|pair| {
+            let text = std::str::from_utf8(pair).ok()?;
+            u8::from_str_radix(text, 16).ok()
+        });
+        let known = |(mark, slots)| Some((*self.marks.get(&mark)?, slots));
+        let held = told::entries(&bytes.collect::<Vec<u8>>()).filter_map(known).collect();
         Event::Told { from: m.src_peer, held }
     }
 
@@ -563,10 +354,10 @@
             Action::Probe { worker } => Order::SoundOut { worker: name(worker)? },
             Action::CloseIdle { worker } => Order::Disconnect { worker: name(worker)? },
             Action::Tell { held } => {
-                let entry = |(w, slots): &(WorkerId, u32)| {
-                    Some(format!("{:08x}{:02x}", mark(name(*w)?), (*slots).min(255)))
-                };
-                Order::Publish { peer: "all", raw: held.iter().filter_map(entry).collect() }
+                let entry = |(w, slots): &(WorkerId, u32)| Some(told::entry(mark(name(*w)?), *slots));
+                let hex = |byte: u8| format!("{byte:02x}");
+                let raw = held.iter().filter_map(entry).flatten().map(hex).collect();
+                Order::Publish { peer: "all", raw }
             }
             Action::Watch => Order::KeepInformed { want: true },
             Action::WakeAt(t) => Order::Remind { due: millis(t), handle: "wake" },
