Report how an attempt ended when its connection closes; test the reducer

Cause: Pool::remove set the stage to Closing(None) to clear the deadline before it took the connection out (pool.rs), so that closed() in reducer.rs never saw what it had carried: resets, failed connects, time-outs and cancels were lost to the decisions.

--- a/src/net/state/pool.rs
+++ b/src/net/state/pool.rs
@@ -82,7 +82,8 @@
     }
 
     pub fn remove(&mut self, id: ConnId) -> Option<Conn> {
-        self.set(id, Stage::Closing(None), None);
+        let stage = self.conns.get(&id)?.stage;
+        self.set(id, stage, None);
         self.conns.remove(&id)
     }
 
--- /dev/null
+++ b/tests/reducer.rs
@@ -0,0 +1,200 @@
+//! The reducer of the network code, without any socket.
+
+mod common;
+
+use common::*;
+use fordrelay::api::*;
+use fordrelay::net::state::{reduce, Answer, ConnId, Effect, Input, Listed, Setup, State};
+use rstest::rstest;
+
+struct Bench {
+    state: State,
+    now: Micros,
+    effects: Vec<Effect>,
+}
+
+impl Bench {
+    fn new(class: Class, targets: u32) -> Self {
+        let setup = Setup {
+            settings: settings(vec![class]),
+            seed: 7,
+            me: 0,
+            connections: 10,
+            connect_timeout: 250 * MS,
+            idle: 5_000 * MS,
+            probe_timeout: 400 * MS,
+        };
+        let mut bench = Bench { state: State::new(setup).expect("usable"), now: START, effects: vec![] };
+        bench.list(ListKind::Whole, (0..targets).map(|n| (n, Status::Ready)));
+        bench
+    }
+
+    fn take(&mut self, input: Input) -> &[Effect] {
+        self.effects = reduce(&mut self.state, self.now, input);
+        &self.effects
+    }
+
+    fn list(&mut self, kind: ListKind, targets: impl Iterator<Item = (u32, Status)>) {
+        let entry = |(n, status)| Listed {
+            name: format!("s-{n}"),
+            addr: ([127, 0, 0, 1], 4_000 + n as u16).into(),
+            zone: 0,
+            kind: 0,
+            cell: 0,
+            status,
+            started: None,
+        };
+        self.take(Input::Listed { kind, version: Some(1), entries: targets.map(entry).collect() });
+    }
+
+    /// Takes a flow; the connection that is opened for it.
+    fn flow(&mut self, id: u64) -> ConnId {
+        let expires = self.now + 5_000 * MS;
+        let spec = JobSpec { id: JobId(id), class: 0, tenant: 0, slots: 1.0, expires, work: None };
+        self.take(Input::Taken(spec));
+        self.opened().expect("a connection is opened")
+    }
+
+    fn opened(&self) -> Option<ConnId> {
+        self.effects.iter().find_map(|e| match e {
+            Effect::Open { conn, .. } => Some(*conn),
+            _ => None,
+        })
+    }
+
+    fn sent(&self) -> Option<ConnId> {
+        self.effects.iter().find_map(|e| match e {
+            Effect::Send { conn, .. } => Some(*conn),
+            _ => None,
+        })
+    }
+
+    fn answer(&self) -> Option<Answer> {
+        self.effects.iter().find_map(|e| match e {
+            Effect::Answer { answer, .. } => Some(answer.clone()),
+            _ => None,
+        })
+    }
+
+    fn done(&mut self, conn: ConnId) {
+        let result = Some("r".into());
+        self.take(Input::Ended { conn, outcome: Outcome::Done, result, report: None });
+    }
+}
+
+/// Guards against a dropped wake-up: the decisions ask for a time once, and an event that comes when an
+/// earlier one is due must not make both vanish. A flow that is held then misses its deadline.
+#[test]
+fn a_held_flow_is_refused_before_its_deadline_whatever_else_happens() {
+    let mut b = Bench::new(safe(), 0);
+    let expires = b.now + 5_000 * MS;
+    let spec = JobSpec { id: JobId(1), class: 0, tenant: 0, slots: 1.0, expires, work: None };
+    b.take(Input::Taken(spec));
+    while b.answer().is_none() {
+        b.now = b.state.wake_at().expect("a held flow always has a time at which it is looked at");
+        assert!(b.now < expires, "not answered in time");
+        // News that changes nothing arrives just as the time has come.
+        b.take(Input::Told { from: 0, message: vec![] });
+    }
+    assert!(matches!(b.answer(), Some(Answer::Refused { retry_after: Some(_) })));
+}
+
+/// Guards against a send to a target that began to drain while the connection was being opened.
+#[test]
+fn a_target_that_drains_while_a_connection_opens_is_sent_nothing() {
+    let mut b = Bench::new(unsafe_class(), 1);
+    let conn = b.flow(1);
+    b.list(ListKind::Changes, [(0, Status::Draining), (1, Status::Ready)].into_iter());
+    b.take(Input::Up(conn));
+    assert_eq!(b.sent(), None);
+    assert!(b.effects.contains(&Effect::Close(conn)));
+    assert!(b.opened().is_some(), "it never ran, so it goes to the other target");
+}
+
+/// Guards against two attempts out at once: the next one waits until the connection of the last is closed.
+#[rstest]
+#[case::overdue(false)]
+#[case::timed_out(true)]
+fn the_next_attempt_waits_until_the_connection_is_closed(#[case] client_leaves: bool) {
+    let mut b = Bench::new(safe(), 2);
+    let conn = b.flow(1);
+    b.take(Input::Up(conn));
+    assert_eq!(b.sent(), Some(conn));
+    if client_leaves {
+        b.take(Input::Left(JobId(1)));
+    }
+    while !b.effects.contains(&Effect::Close(conn)) {
+        b.effects.retain(|e| !matches!(e, Effect::Send { conn: c, .. } if *c == conn));
+        assert_eq!((b.sent(), b.opened(), b.answer()), (None, None, None));
+        b.now = b.state.wake_at().expect("an unstarted attempt is looked at");
+        b.take(Input::Tick);
+    }
+    assert_eq!((b.sent(), b.opened()), (None, None), "not before it is closed");
+    b.take(Input::Closed { conn, unsent: false });
+    assert_eq!(b.opened().is_some(), !client_leaves);
+}
+
+/// Guards against a repeat of what may have run: only what was certainly not sent whole never ran.
+#[rstest]
+#[case::unsent(true)]
+#[case::in_doubt(false)]
+fn a_broken_connection_proves_that_nothing_ran_only_if_the_request_was_not_sent(#[case] unsent: bool) {
+    let mut b = Bench::new(unsafe_class(), 2);
+    let conn = b.flow(1);
+    b.take(Input::Up(conn));
+    b.take(Input::Closed { conn, unsent });
+    assert_eq!(b.answer(), (!unsent).then_some(Answer::Failed));
+    assert_eq!(b.opened().is_some(), unsent);
+}
+
+/// Guards against an answer that crosses its own cancelling: it is the client's if it still waits.
+#[test]
+fn a_last_word_that_crosses_the_closing_is_served_once() {
+    let mut b = Bench::new(safe(), 1);
+    let conn = b.flow(1);
+    b.take(Input::Up(conn));
+    b.now += 5_000 * MS - 1;
+    b.take(Input::Tick);
+    assert!(matches!(b.answer(), Some(Answer::Refused { .. })), "its time is up");
+    b.done(conn);
+    assert_eq!(b.answer(), None, "one answer is final");
+    b.take(Input::Closed { conn, unsent: false });
+    assert!(b.effects.is_empty());
+}
+
+/// Guards against requests written to a connection that the target is about to close as idle.
+#[test]
+fn a_connection_is_used_again_and_closed_when_it_idles() {
+    let mut b = Bench::new(safe(), 1);
+    let conn = b.flow(1);
+    b.take(Input::Up(conn));
+    b.done(conn);
+    assert_eq!(b.answer(), Some(Answer::Served("r".into())));
+    b.take(Input::Free(conn));
+    let spec =
+        JobSpec { id: JobId(2), class: 0, tenant: 0, slots: 1.0, expires: b.now + 900 * MS, work: None };
+    b.take(Input::Taken(spec));
+    assert_eq!((b.sent(), b.opened()), (Some(conn), None));
+    b.done(conn);
+    b.take(Input::Free(conn));
+    b.now += 5_000 * MS;
+    assert!(b.take(Input::Tick).contains(&Effect::Close(conn)));
+}
+
+/// Guards against more connections than the limit on descriptors allows.
+#[test]
+fn connections_stay_within_their_limit_and_a_connect_that_hangs_is_given_up() {
+    let mut b = Bench::new(safe(), 20);
+    let mut open = std::collections::BTreeSet::new();
+    for id in 0..40 {
+        let expires = b.now + 5_000 * MS;
+        let spec = JobSpec { id: JobId(id), class: 0, tenant: 0, slots: 1.0, expires, work: None };
+        b.take(Input::Taken(spec));
+        open.extend(b.opened());
+        assert!(open.len() <= 10, "{open:?}");
+    }
+    assert_eq!(open.len(), 10);
+    b.now += 250 * MS;
+    b.take(Input::Tick);
+    assert!(open.iter().all(|conn| b.effects.contains(&Effect::Close(*conn))));
+}
