Test the program over loopback; end a stop that clients hold up; cut dead links to discovery

tests/serve.rs starts the program against scripted targets and a scripted discovery: bytes that pass unchanged, malformed requests, what a target's last word allows, a client that leaves, a list that comes malformed or not at all, SIGTERM, and more connections than the limit. Found by them and repaired: a connection over the limit is now marked as it is accepted; judged at each request, a burst of connections turned away clients that were within the limit (listener.rs). A 'done' without a result is an error of the target, not an empty answer. By reading: a stop ends although a client never reads its answer; a call to discovery that times out closes its socket with it; a path in absolute form goes on as path and query.

--- a/src/net/lifecycle/mod.rs
+++ b/src/net/lifecycle/mod.rs
@@ -18,7 +18,7 @@
 use tokio::signal::unix::{signal, SignalKind};
 use tokio::sync::{mpsc, watch};
 use tokio::task::{spawn_local, LocalSet};
-use tracing::info;
+use tracing::{info, warn};
 
 /// How long after SIGTERM connections are still accepted: clients hear of it only then.
 const GRACE: Duration = Duration::from_millis(700);
@@ -60,6 +60,8 @@
     let mut terminate = signal(SignalKind::terminate())?;
     let mut interrupt = signal(SignalKind::interrupt())?;
     let clock = Clock::start();
+    let longest = config.settings.classes.iter().map(|c| c.give_up).max().unwrap_or(0);
+    let longest = Duration::from_micros(longest);
     let state = State::new(Setup {
         settings: config.settings,
         seed: config.seed,
@@ -96,8 +98,9 @@
     };
     let listener = Listener::new(Rc::clone(&desk), terms, phases);
     let socket = TcpListener::bind(config.listen).await.map_err(bind("listen", config.listen))?;
+    let listen = socket.local_addr()?;
     let accepting = spawn_local(Rc::clone(&listener).accept(socket));
-    info!(name = config.name, listen = %config.listen, "serving");
+    info!(name = config.name, "serving on {listen}");
 
     tokio::select! {
         _ = terminate.recv() => {}
@@ -108,9 +111,14 @@
     tokio::time::sleep(GRACE).await;
     phase.send_replace(Phase::Closing);
     // An accept loop that has ended has spawned a task for each connection, and none is left unanswered.
-    while !accepting.is_finished() || listener.open() > 0 {
-        tokio::time::sleep(LOOK).await;
+    let answered = async {
+        while !accepting.is_finished() || listener.open() > 0 {
+            tokio::time::sleep(LOOK).await;
+        }
+    };
+    match tokio::time::timeout(longest + GRACE, answered).await {
+        Ok(()) => info!("stopped"),
+        Err(_) => warn!(connections = listener.open(), "stopped, with clients that do not read or write"),
     }
-    info!("stopped");
     Ok(())
 }
--- a/src/net/wire/discovery.rs
+++ b/src/net/wire/discovery.rs
@@ -15,6 +15,7 @@
 use std::time::Duration;
 use tokio::net::TcpStream;
 use tokio::sync::mpsc;
+use tokio::task::JoinSet;
 use tokio::time::timeout;
 use tracing::{debug, info, warn};
 
@@ -129,11 +130,11 @@
     desk: Rc<Desk>,
     mut wanted: mpsc::UnboundedReceiver<Option<u64>>,
 ) {
-    let mut sender = None;
+    let mut link = None;
     while let Some(mut after) = wanted.recv().await {
         info!(?after, "watching the list");
         loop {
-            match call(addr, after, &mut sender).await {
+            match call(addr, after, &mut link).await {
                 Ok(list) => {
                     debug!(version = list.version, full = list.full, entries = list.servers.len(), "list");
                     after = Some(list.version);
@@ -141,7 +142,8 @@
                 }
                 Err(e) => {
                     warn!("a call to discovery failed: {e}");
-                    sender = None;
+                    // Only one watch at a time: what was asked for amid this one is answered by its failure.
+                    while wanted.try_recv().is_ok() {}
                     desk.report(Input::ListFailed);
                     break;
                 }
@@ -150,18 +152,22 @@
     }
 }
 
-type Sender = SendRequest<Empty<Bytes>>;
+/// A connection to discovery; dropping it closes the socket, also amid a call.
+struct Link {
+    sender: SendRequest<Empty<Bytes>>,
+    _conn: JoinSet<()>,
+}
 
-async fn call(addr: SocketAddr, after: Option<u64>, kept: &mut Option<Sender>) -> Result<List, CallError> {
-    let mut sender = match kept.take() {
-        Some(sender) if !sender.is_closed() => sender,
+async fn call(addr: SocketAddr, after: Option<u64>, kept: &mut Option<Link>) -> Result<List, CallError> {
+    let mut link = match kept.take() {
+        Some(link) if !link.sender.is_closed() => link,
         _ => {
             let stream = timeout(CONNECT_WAIT, TcpStream::connect(addr)).await??;
             stream.set_nodelay(true)?;
             let (sender, conn) = http1::handshake(TokioIo::new(stream)).await?;
-            // It ends when its sender is dropped, or with an error that the sender reports as well.
-            tokio::task::spawn_local(async { conn.await.unwrap_or_else(|e| debug!("discovery: {e}")) });
-            sender
+            let mut task = JoinSet::new();
+            task.spawn_local(async { conn.await.unwrap_or_else(|e| debug!("discovery: {e}")) });
+            Link { sender, _conn: task }
         }
     };
     let (path, wait) = match after {
@@ -173,8 +179,8 @@
     };
     let request = Request::builder().uri(path).header("host", addr.to_string()).body(Empty::new())?;
     let answer = async {
-        sender.ready().await?;
-        let response = sender.send_request(request).await?;
+        link.sender.ready().await?;
+        let response = link.sender.send_request(request).await?;
         let status = response.status();
         let body =
             Limited::new(response.into_body(), LARGEST_LIST).collect().await.map_err(CallError::Body)?;
@@ -185,6 +191,6 @@
         return Err(CallError::Status(status));
     }
     let list = serde_json::from_slice(&body)?;
-    *kept = Some(sender);
+    *kept = Some(link);
     Ok(list)
 }
--- a/src/net/wire/listener.rs
+++ b/src/net/wire/listener.rs
@@ -166,7 +166,9 @@
             match accepted {
                 Ok((stream, _)) => {
                     self.open.set(self.open.get() + 1);
-                    tokio::task::spawn_local(Rc::clone(&self).connection(stream));
+                    // Beyond the limit a connection is there only to be told to come again.
+                    let crowded = self.open.get() > self.terms.connections;
+                    tokio::task::spawn_local(Rc::clone(&self).connection(stream, crowded));
                 }
                 Err(e) => {
                     // Out of descriptors, or the client was gone before: neither may end the loop.
@@ -177,11 +179,11 @@
         }
     }
 
-    async fn connection(self: Rc<Self>, stream: TcpStream) {
+    async fn connection(self: Rc<Self>, stream: TcpStream, crowded: bool) {
         if let Err(e) = stream.set_nodelay(true) {
             debug!("can't set TCP_NODELAY: {e}");
         }
-        let service = service_fn(|request| self.respond(request));
+        let service = service_fn(|request| self.respond(request, crowded));
         let mut phase = self.phase.clone();
         let conn = http1::Builder::new()
             .timer(TokioTimer::new())
@@ -204,36 +206,47 @@
         self.closed.notify_one();
     }
 
-    async fn respond(&self, request: Request<Incoming>) -> Result<Response<Full<Bytes>>, Infallible> {
-        let mut response = match self.route(request).await {
+    async fn respond(
+        &self,
+        request: Request<Incoming>,
+        crowded: bool,
+    ) -> Result<Response<Full<Bytes>>, Infallible> {
+        let mut response = match self.route(request, crowded).await {
             Ok(response) => response,
             Err(refusal) => {
                 debug!("fixed response: {refusal}");
                 refusal.response()
             }
         };
-        let crowded = self.open.get() > self.terms.connections;
         if crowded || *self.phase.borrow() != Phase::Serving {
             response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
         }
         Ok(response)
     }
 
-    async fn route(&self, request: Request<Incoming>) -> Result<Response<Full<Bytes>>, Refusal> {
+    async fn route(
+        &self,
+        request: Request<Incoming>,
+        crowded: bool,
+    ) -> Result<Response<Full<Bytes>>, Refusal> {
         match (request.method(), request.uri().path()) {
             (&Method::GET, "/ready") => Ok(fixed(StatusCode::OK, "ready\n".into())),
             (&Method::POST, "/ready") => Err(Refusal::Path),
-            (&Method::POST, _) => self.flow(request).await,
+            (&Method::POST, _) => self.flow(request, crowded).await,
             (&Method::GET, _) => Err(Refusal::Path),
             _ => Err(Refusal::Method),
         }
     }
 
-    async fn flow(&self, request: Request<Incoming>) -> Result<Response<Full<Bytes>>, Refusal> {
+    async fn flow(
+        &self,
+        request: Request<Incoming>,
+        crowded: bool,
+    ) -> Result<Response<Full<Bytes>>, Refusal> {
         let came = self.desk.clock().now();
         let (head, body) = request.into_parts();
         let (id, mut spec) = self.read(&head.headers, came)?;
-        if self.open.get() > self.terms.connections || self.desk.open_flows() >= self.terms.flows {
+        if crowded || self.desk.open_flows() >= self.terms.flows {
             return Err(Refusal::Overload);
         }
         let wait = Duration::from_micros(spec.expires.saturating_sub(came));
@@ -246,7 +259,8 @@
         };
         let key = head.headers.get("idempotency-key").cloned();
         let passed_id = id.clone();
-        let passed = Passed { method: head.method, uri: head.uri, id, key, body };
+        let path = head.uri.into_parts().path_and_query.ok_or(Refusal::Path)?;
+        let passed = Passed { method: head.method, path, id, key, body };
         let (flow, answer) = self.desk.open(passed);
         let mut leaver = Leaver { desk: &self.desk, flow, answered: false };
         spec.id = flow;
--- a/src/net/wire/mod.rs
+++ b/src/net/wire/mod.rs
@@ -13,8 +13,9 @@
 use crate::net::lifecycle::clock::Clock;
 use crate::net::state::{reduce, Answer, ConnId, Effect, Input, State};
 use bytes::Bytes;
+use hyper::http::uri::PathAndQuery;
 use hyper::http::HeaderValue;
-use hyper::{Method, Uri};
+use hyper::Method;
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::rc::Rc;
@@ -27,7 +28,7 @@
     /// The method.
     pub method: Method,
     /// Path and query.
-    pub uri: Uri,
+    pub path: PathAndQuery,
     /// `Req-Id`.
     pub id: HeaderValue,
     /// `Idempotency-Key`, where there is one.
--- a/src/net/wire/target.rs
+++ b/src/net/wire/target.rs
@@ -8,7 +8,7 @@
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{self, SendRequest};
-use hyper::{Method, Request, Response, StatusCode};
+use hyper::{Method, Request, Response, StatusCode, Uri};
 use hyper_util::rt::TokioIo;
 use serde::Deserialize;
 use serde_json::value::RawValue;
@@ -107,7 +107,7 @@
         written.set(0);
         whole.set(match &order {
             // More than this is written for certain by the time that a request is whole.
-            Order::Job { passed, .. } => (passed.uri.to_string().len() + passed.body.len()) as u64,
+            Order::Job { passed, .. } => (passed.path.as_str().len() + passed.body.len()) as u64,
             Order::Probe => 1,
         });
         let mut closed = false;
@@ -178,7 +178,7 @@
 ) -> Result<(), Broken> {
     let mut request = Request::builder()
         .method(passed.method.clone())
-        .uri(passed.uri.clone())
+        .uri(Uri::from(passed.path.clone()))
         .header("host", "target")
         .header("req-id", passed.id.clone())
         .header("req-deadline", seconds(wait));
@@ -246,13 +246,12 @@
             None
         }
         "done" => {
-            let raw = line.result.map_or("", RawValue::get);
             // A text is what it says, anything else is itself.
-            let result = match serde_json::from_str::<String>(raw) {
+            let read = |raw: &RawValue| match serde_json::from_str::<String>(raw.get()) {
                 Ok(text) => Bytes::from(text),
-                Err(_) => Bytes::copy_from_slice(raw.as_bytes()),
+                Err(_) => Bytes::copy_from_slice(raw.get().as_bytes()),
             };
-            Some(LastWord { outcome: Outcome::Done, result: Some(result), report })
+            Some(LastWord { outcome: Outcome::Done, result: line.result.map(read), report })
         }
         "failed" => last(Outcome::Error),
         "returned" => last(Outcome::Full),
--- /dev/null
+++ b/tests/serve.rs
@@ -0,0 +1,348 @@
+//! Stories of the whole program over loopback, against scripted targets and a scripted discovery.
+
+use rstest::rstest;
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::path::PathBuf;
+use std::process::{Child, Command, Stdio};
+use std::sync::mpsc::{channel, Receiver, Sender};
+use std::thread;
+
+/// One request or answer: its first line, its header lines in lower case, its body.
+#[derive(Debug, Clone)]
+struct Message {
+    first: String,
+    headers: Vec<String>,
+    body: Vec<u8>,
+}
+
+impl Message {
+    fn header(&self, name: &str) -> Option<&str> {
+        self.headers.iter().find_map(|h| h.strip_prefix(name)?.strip_prefix(": "))
+    }
+
+    fn status(&self) -> &str {
+        self.first.split(' ').nth(1).unwrap_or("")
+    }
+}
+
+/// The next message; none once the other side has closed.
+fn read(stream: &mut BufReader<TcpStream>) -> Option<Message> {
+    let mut line = || {
+        let mut text = String::new();
+        stream.read_line(&mut text).ok().filter(|n| *n > 0).map(|_| text.trim_end().to_owned())
+    };
+    let first = line()?;
+    let mut headers = vec![];
+    loop {
+        match line()? {
+            text if text.is_empty() => break,
+            text => {
+                headers.push(text.split_once(':').map_or(text.clone(), |(name, value)| {
+                    format!("{}: {}", name.to_lowercase(), value.trim())
+                }))
+            }
+        }
+    }
+    let mut message = Message { first, headers, body: vec![] };
+    let length = message.header("content-length").map_or(0, |l| l.parse().expect("a length"));
+    message.body = vec![0; length];
+    stream.read_exact(&mut message.body).ok()?;
+    Some(message)
+}
+
+/// A peer that answers each request as its script says; `None` closes the connection.
+struct Peer {
+    addr: SocketAddr,
+    /// Each request with the number of its connection; none once that connection is closed.
+    seen: Receiver<(usize, Option<Message>)>,
+}
+
+fn peer(script: impl Fn(&Message) -> Option<String> + Send + Sync + Clone + 'static) -> Peer {
+    let socket = TcpListener::bind("127.0.0.1:0").unwrap();
+    let addr = socket.local_addr().unwrap();
+    let (sender, seen) = channel();
+    thread::spawn(move || {
+        for (number, stream) in socket.incoming().flatten().enumerate() {
+            let (sender, script) = (sender.clone(), script.clone());
+            thread::spawn(move || talk(number, stream, &sender, script));
+        }
+    });
+    Peer { addr, seen }
+}
+
+fn talk(
+    number: usize,
+    stream: TcpStream,
+    seen: &Sender<(usize, Option<Message>)>,
+    script: impl Fn(&Message) -> Option<String>,
+) {
+    let mut stream = BufReader::new(stream);
+    while let Some(message) = read(&mut stream) {
+        let _ = seen.send((number, Some(message.clone())));
+        match script(&message) {
+            Some(text) if stream.get_mut().write_all(text.as_bytes()).is_ok() => {}
+            _ => return,
+        }
+    }
+    let _ = seen.send((number, None));
+}
+
+fn plain(status: &str, body: &str) -> String {
+    format!("HTTP/1.1 {status}\r\nContent-Length: {}\r\n\r\n{body}", body.len())
+}
+
+/// A target's answer: each line a chunk, with `ID` standing for the request's id.
+fn lines(request: &Message, lines: &[&str]) -> String {
+    let chunk = |line: &&str| {
+        let line = line.replace("ID", request.header("req-id").unwrap_or(""));
+        format!("{:x}\r\n{line}\n\r\n", line.len() + 1)
+    };
+    let chunks: String = lines.iter().map(chunk).collect();
+    format!("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n{chunks}0\r\n\r\n")
+}
+
+const STARTED: &str = r#"{"id":"ID","from":"s","state":"started"}"#;
+const DONE: &str = r#"{"id":"ID","from":"s","state":"done","result":"r\u00fcn"}"#;
+
+fn serving() -> Peer {
+    peer(|m| Some(lines(m, &[STARTED, DONE])))
+}
+
+fn list(version: u64, full: bool, servers: &[(SocketAddr, &str)]) -> String {
+    let server = |(n, (addr, state)): (usize, &(SocketAddr, &str))| {
+        format!(
+            r#"{{"id":"s-{n}","addr":"{addr}","zone":"a","kind":"k","cell":0,"state":"{state}","started_ms":0}}"#
+        )
+    };
+    let servers: Vec<String> = servers.iter().enumerate().map(server).collect();
+    format!(r#"{{"version":{version},"full":{full},"servers":[{}]}}"#, servers.join(","))
+}
+
+/// A discovery that gives each call the next text, and then nothing more.
+fn discovery(answers: Vec<String>) -> (SocketAddr, Receiver<(usize, Option<Message>)>) {
+    let next = std::sync::Arc::new(std::sync::Mutex::new(answers.into_iter()));
+    let peer = peer(move |_| Some(next.lock().unwrap().next().unwrap_or_default()));
+    (peer.addr, peer.seen)
+}
+
+/// The program, with a configuration of its own.
+struct Program {
+    child: Child,
+    addr: SocketAddr,
+    log: BufReader<std::process::ChildStderr>,
+    config: PathBuf,
+}
+
+impl Program {
+    fn start(known: &str, discovery: SocketAddr, sockets: usize) -> Self {
+        let class = |name: &str, effect: &str| {
+            format!(
+                r#"{{"name":"{name}","effect":"{effect}","group":"zone","slo-ms":4000,"hard-limit-ms":60000,
+                "memory-span-ms":60000,"points":1,"late-worth":0.3}}"#
+            )
+        };
+        let text = format!(
+            r#"{{"name":"t","listen":"127.0.0.1:0","discovery":"{discovery}","seed":"2a",
+            "limits":{{"sockets":{sockets}}},"known":{known},"settings":{{"allowed":{{"attempts-cap":3,
+            "may-cancel":true,"retry-after":true,"max-retry-after-ms":2000}},"classes":[{},{}],
+            "goal":{{"whole":1}},"discovery":"on_request","peers-total":1,"zones":["a"],"models":["k"],
+            "rules":{{"cold-ms":1,"fall-ms":1,"start-capacity":1,"tip-multiple":3}},
+            "specifics":{{"tells-start":true}},"tick-ms":5}}}}"#,
+            class("watch", "pure"),
+            class("settle", "side_effect")
+        );
+        let unique = format!("fordrelay-{}-{}.json", std::process::id(), discovery.port());
+        let config = std::env::temp_dir().join(unique);
+        std::fs::write(&config, text).unwrap();
+        let mut child = Command::new(env!("CARGO_BIN_EXE_fordrelay"))
+            .args(["serve", "--config"])
+            .arg(&config)
+            .stderr(Stdio::piped())
+            .spawn()
+            .unwrap();
+        let mut log = BufReader::new(child.stderr.take().unwrap());
+        let addr = loop {
+            let mut line = String::new();
+            assert!(log.read_line(&mut line).unwrap() > 0, "the program ended before it served");
+            if let Some((_, addr)) = line.trim().split_once("serving on ") {
+                break addr.split(' ').next().unwrap().parse().unwrap();
+            }
+        };
+        Program { child, addr, log, config }
+    }
+
+    /// Reads the log until a line holds the text.
+    fn wait_for(&mut self, text: &str) {
+        let mut line = String::new();
+        while !line.contains(text) {
+            line.clear();
+            assert!(self.log.read_line(&mut line).unwrap() > 0, "the program ended before it said {text:?}");
+        }
+    }
+
+    fn connect(&self) -> BufReader<TcpStream> {
+        BufReader::new(TcpStream::connect(self.addr).unwrap())
+    }
+
+    fn ask(&self, class: &str) -> Message {
+        let mut client = self.connect();
+        client.get_mut().write_all(job(class).as_bytes()).unwrap();
+        read(&mut client).expect("an answer")
+    }
+}
+
+impl Drop for Program {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+        let _ = std::fs::remove_file(&self.config);
+    }
+}
+
+fn job(class: &str) -> String {
+    format!(
+        "POST /a%2Fb?sid=7f&x=%20 HTTP/1.1\r\nHost: h\r\nReq-Id: 9b1f\r\nReq-Kind: {class}\r\nReq-Deadline: 50\r\n\
+        Idempotency-Key: kE\r\nContent-Length: 3\r\n\r\n\x01{{ "
+    )
+}
+
+/// One target, known from the start, and a discovery that has nothing to add.
+fn with_target(target: &Peer) -> (Program, Receiver<(usize, Option<Message>)>) {
+    let (addr, calls) = discovery(vec![]);
+    (Program::start(&list(1, true, &[(target.addr, "ready")]), addr, 1_024), calls)
+}
+
+#[test]
+fn a_flow_goes_on_as_it_came_and_connections_are_kept() {
+    let target = serving();
+    let (program, calls) = with_target(&target);
+    let call = calls.recv().unwrap().1.unwrap();
+    assert!(call.first.starts_with("GET /v1/endpoints?index=1&wait="), "{call:?}");
+    let mut client = program.connect();
+    client.get_mut().write_all(b"GET /ready HTTP/1.1\r\nHost: h\r\n\r\n").unwrap();
+    assert_eq!(read(&mut client).unwrap().status(), "200");
+    for _ in 0..2 {
+        client.get_mut().write_all(job("watch").as_bytes()).unwrap();
+        let answer = read(&mut client).unwrap();
+        assert_eq!((answer.status(), answer.body.as_slice()), ("200", "rün".as_bytes()));
+        let (conn, seen) = target.seen.recv().unwrap();
+        let seen = seen.unwrap();
+        assert_eq!((conn, seen.first.as_str()), (0, "POST /a%2Fb?sid=7f&x=%20 HTTP/1.1"));
+        assert_eq!(seen.body, b"\x01{ ");
+        assert_eq!((seen.header("req-id"), seen.header("idempotency-key")), (Some("9b1f"), Some("kE")));
+    }
+}
+
+/// Guards against malformed requests that reach a target or end the program.
+#[rstest]
+#[case::no_id(job("watch").replace("Req-Id", "X-Id"), "400")]
+#[case::unknown_class(job("dance"), "400")]
+#[case::bad_deadline(job("watch").replace("Req-Deadline: 50", "Req-Deadline: -1"), "400")]
+#[case::no_deadline(job("watch").replace("Req-Deadline", "X"), "400")]
+#[case::bad_extra(job("watch").replace("Idempotency-Key: kE", "Req-Extra: slots=many"), "400")]
+#[case::too_large(job("watch").replace("Length: 3", "Length: 65537") + &" ".repeat(65_534), "413")]
+#[case::other_method(job("watch").replace("POST", "PUT"), "405")]
+fn a_malformed_request_gets_a_fixed_response(#[case] request: String, #[case] status: &str) {
+    let target = serving();
+    let (program, _calls) = with_target(&target);
+    let mut client = program.connect();
+    client.get_mut().write_all(request.as_bytes()).unwrap();
+    assert_eq!(read(&mut client).unwrap().status(), status);
+    assert_eq!(program.ask("watch").status(), "200");
+    assert_eq!(target.seen.recv().unwrap().1.unwrap().header("req-kind"), None, "only the second came");
+    assert!(target.seen.try_recv().is_err());
+}
+
+/// Guards against a wrong word on what may have run: what must never run twice is tried again only after an
+/// outcome that proves it has not run.
+#[rstest]
+#[case::returned(&[r#"{"id":"ID","from":"s","state":"returned"}"#], "200")]
+#[case::failed(&[STARTED, r#"{"id":"ID","from":"s","state":"failed"}"#], "502")]
+#[case::lost(&[STARTED, r#"{"id":"ID","from":"s","state":"lost"}"#], "502")]
+#[case::cut_short(&[STARTED], "502")]
+#[case::nonsense(&["}"], "502")]
+#[case::about_another(&[r#"{"id":"other","from":"s","state":"done","result":"x"}"#], "502")]
+#[case::no_result(&[r#"{"id":"ID","from":"s","state":"done"}"#], "502")]
+fn what_a_target_says_decides_on_a_second_attempt(#[case] first: &'static [&str], #[case] status: &str) {
+    let fresh = std::sync::Arc::new(std::sync::atomic::AtomicBool::new(true));
+    let target = peer(move |m| {
+        let first_time = fresh.swap(false, std::sync::atomic::Ordering::Relaxed);
+        Some(lines(m, if first_time { first } else { &[STARTED, DONE] }))
+    });
+    let (program, _calls) = with_target(&target);
+    assert_eq!(program.ask("settle").status(), status);
+    assert_eq!(program.ask("settle").status(), "200", "the program goes on");
+}
+
+/// Guards against an attempt that goes on for nobody: a client that leaves ends it.
+#[test]
+fn a_client_that_leaves_ends_its_attempt() {
+    let target = peer(|m| Some(lines(m, &[STARTED]).replace("0\r\n\r\n", "")));
+    let (program, _calls) = with_target(&target);
+    let mut client = program.connect();
+    client.get_mut().write_all(job("watch").as_bytes()).unwrap();
+    assert!(target.seen.recv().unwrap().1.is_some());
+    drop(client);
+    assert!(target.seen.recv().unwrap().1.is_none(), "the connection to the target is closed");
+}
+
+/// Guards against a list that is lost for good after a failed or malformed answer, and against sends to a
+/// target that a whole list leaves out.
+#[rstest]
+#[case::refused(plain("503 Service Unavailable", ""))]
+#[case::malformed(plain("200 OK", r#"{"version":2,"full":true,"servers":[{"id":5}]}"#))]
+#[case::cut_short("HTTP/1.1 200 OK\r\nContent-Length: 50\r\nConnection: close\r\n\r\n{".into())]
+fn discovery_is_asked_again_and_what_it_leaves_out_is_gone(#[case] bad: String) {
+    let (old, new) = (serving(), serving());
+    let moved = list(3, true, &[(old.addr, "gone"), (new.addr, "ready")]);
+    let (addr, calls) = discovery(vec![bad, plain("200 OK", &moved)]);
+    let program = Program::start(&list(1, true, &[(old.addr, "ready")]), addr, 1_024);
+    // The call after the new list shows that it was taken in.
+    while !calls.recv().unwrap().1.is_some_and(|m| m.first.contains("index=3")) {}
+    assert_eq!(program.ask("watch").status(), "200");
+    assert!(new.seen.recv().unwrap().1.is_some());
+    assert!(old.seen.try_recv().is_err());
+}
+
+/// Guards against lost requests at a planned restart: all that is taken is answered before the end.
+#[test]
+fn after_sigterm_what_is_taken_is_answered_and_connections_end() {
+    let (release, gate) = channel::<()>();
+    let gate = std::sync::Arc::new(std::sync::Mutex::new(gate));
+    let target = peer(move |m| {
+        gate.lock().unwrap().recv().ok()?;
+        Some(lines(m, &[STARTED, DONE]))
+    });
+    let (mut program, _calls) = with_target(&target);
+    let mut waiting = program.connect();
+    waiting.get_mut().write_all(job("settle").as_bytes()).unwrap();
+    assert!(target.seen.recv().unwrap().1.is_some());
+    let killed = Command::new("kill").args(["-TERM", &program.child.id().to_string()]).status().unwrap();
+    assert!(killed.success());
+    program.wait_for("told to stop");
+    let mut late = program.connect();
+    late.get_mut().write_all(b"GET /ready HTTP/1.1\r\nHost: h\r\n\r\n").unwrap();
+    let answer = read(&mut late).unwrap();
+    assert_eq!((answer.status(), answer.header("connection")), ("200", Some("close")));
+    release.send(()).unwrap();
+    let answer = read(&mut waiting).unwrap();
+    assert_eq!((answer.status(), answer.header("connection")), ("200", Some("close")));
+    assert!(program.child.wait().unwrap().success());
+}
+
+/// Guards against running out of descriptors: beyond the limit clients are told to come again, and the
+/// program goes on.
+#[test]
+fn connections_over_the_limit_are_refused_and_others_go_on() {
+    let target = serving();
+    let (addr, _calls) = discovery(vec![]);
+    let program = Program::start(&list(1, true, &[(target.addr, "ready")]), addr, 90);
+    let mut clients: Vec<_> = (0..28).map(|_| program.connect()).collect();
+    let refused = program.ask("watch");
+    assert_eq!((refused.status(), refused.header("connection")), ("503", Some("close")));
+    assert!(refused.header("retry-after").is_some());
+    let mut last = clients.pop().unwrap();
+    last.get_mut().write_all(job("watch").as_bytes()).unwrap();
+    assert_eq!(read(&mut last).unwrap().status(), "200");
+}
