--- a/src/net/lifecycle/config.rs
+++ b/src/net/lifecycle/config.rs
@@ -1,6 +1,6 @@
 //! The configuration: the one place where it is read, checked and given defaults.
 
-use crate::api::{Micros, Settings};
+use crate::api::{Micros, Settings, SettingsError};
 use crate::facts::{micros, settings, Facts};
 use crate::net::wire::discovery::List;
 use crate::net::wire::ReportNames;
@@ -54,6 +54,42 @@
     ConfigError::Key { key: key.into(), error: error.to_string() }
 }
 
+/// The key of the settings that the decisions can't use, under the name that it has in the file.
+fn unusable(error: &SettingsError) -> ConfigError {
+    let key = match error {
+        SettingsError::NoDispatchers => "peers-total",
+        SettingsError::NoClasses => "classes",
+        SettingsError::NoAttempts => "allowed.attempts-cap",
+        SettingsError::BadFigure(name) => match *name {
+            "aim" => "classes[].slo-ms",
+            "give_up" => "classes[].hard-limit-ms",
+            "stretch" => "specifics.class-stretch",
+            "worth" => "classes[].points",
+            "late_worth" => "classes[].late-worth",
+            "quota_per_s" => "tenants[].quota-per-s",
+            "share" => "tenants[].portion",
+            "overall" => "goal.whole",
+            "worst_window" => "goal.worst-window",
+            "worst_class" => "goal.worst-class",
+            "worst_tenant" => "goal.worst-tenant",
+            "probe_price" => "costs.probe",
+            "tell_price" => "costs.peer",
+            "cross_zone_price" => "costs.cross-zone",
+            "connect_price" => "costs.handshake",
+            "waste_price" => "costs.waste",
+            "over_share_worth" => "over-share-worth",
+            "start_capacity" => "rules.start-capacity",
+            "tip_multiple" => "rules.tip-multiple",
+            "close_on_drain" => "rules.hang-up-within-ms",
+            "retry_budget.minimum" => "rules.spare-attempts",
+            "retry_budget.ratio" => "rules.extra-ratio",
+            "retry_budget.window" => "rules.extra-window-ms",
+            other => other,
+        },
+    };
+    fault(format!("settings.{key}"), error)
+}
+
 /// The file as it is written.
 #[derive(Debug, Deserialize)]
 struct File {
@@ -162,8 +198,8 @@
         let discovery = address("discovery", file.discovery, "ROUTER_DISCOVERY")?;
         let seed = u64::from_str_radix(&file.seed, 16).map_err(|e| fault("seed", e))?;
         let facts = file.settings;
-        let decisions = settings(&facts).map_err(|e| fault("settings", e))?;
-        decisions.validate().map_err(|e| fault("settings", e))?;
+        let decisions = settings(&facts).map_err(|e| unusable(&e))?;
+        decisions.validate().map_err(|e| unusable(&e))?;
         for (at, class) in facts.classes.iter().enumerate() {
             if class.name.is_empty() {
                 return Err(fault(format!("settings.classes[{at}].name"), "is missing"));
