--- a/tests/serve.rs
+++ b/tests/serve.rs
@@ -136,6 +136,11 @@
 
 impl Program {
     fn start(known: &str, discovery: SocketAddr, sockets: usize) -> Self {
+        Program::limited(known, discovery, sockets, 1_024)
+    }
+
+    /// With so many descriptors, whatever the configuration says.
+    fn limited(known: &str, discovery: SocketAddr, sockets: usize, descriptors: usize) -> Self {
         let class = |name: &str, effect: &str| {
             format!(
                 r#"{{"name":"{name}","effect":"{effect}","group":"zone","slo-ms":4000,"hard-limit-ms":60000,
@@ -155,8 +160,9 @@
         let unique = format!("fordrelay-{}-{}.json", std::process::id(), discovery.port());
         let config = std::env::temp_dir().join(unique);
         std::fs::write(&config, text).unwrap();
-        let mut child = Command::new(env!("CARGO_BIN_EXE_fordrelay"))
-            .args(["serve", "--config"])
+        let mut child = Command::new("sh")
+            .args(["-c", &format!("ulimit -n {descriptors} && exec \"$0\" serve --config \"$1\"")])
+            .arg(env!("CARGO_BIN_EXE_fordrelay"))
             .arg(&config)
             .stderr(Stdio::piped())
             .spawn()
@@ -331,7 +337,20 @@
     assert!(program.child.wait().unwrap().success());
 }
 
-/// Guards against running out of descriptors: beyond the limit clients are told to come again, and the
+/// Guards against an accept loop that ends when the system has no descriptor left.
+#[test]
+fn out_of_descriptors_the_program_goes_on_once_some_are_free() {
+    let target = serving();
+    let (addr, calls) = discovery(vec![]);
+    let mut program = Program::limited(&list(1, true, &[(target.addr, "ready")]), addr, 1_024, 30);
+    assert!(calls.recv().unwrap().1.is_some(), "discovery has its descriptor");
+    let clients: Vec<_> = (0..40).map(|_| program.connect()).collect();
+    program.wait_for("can't accept");
+    drop(clients);
+    assert_eq!(program.ask("watch").status(), "200");
+}
+
+/// Guards against running over the limit on descriptors: beyond the limit clients are told to come again, and the
 /// program goes on.
 #[test]
 fn connections_over_the_limit_are_refused_and_others_go_on() {
