--- a/tests/reducer.rs
+++ b/tests/reducer.rs
@@ -198,3 +198,14 @@
     b.take(Input::Tick);
     assert!(open.iter().all(|conn| b.effects.contains(&Effect::Close(*conn))));
 }
+
+/// Guards against messages from other dispatchers that are cut short, speak of strangers or come from nobody.
+#[rstest]
+#[case(0, vec![0; 5])]
+#[case(9, vec![0; 5])]
+#[case(u32::MAX, vec![1, 2, 3])]
+fn a_message_that_makes_no_sense_changes_nothing(#[case] from: u32, #[case] message: Vec<u8>) {
+    let mut b = Bench::new(safe(), 1);
+    assert!(b.take(Input::Told { from, message }).is_empty());
+    b.flow(1);
+}
