Follow SIGHUP, make room from clients that do not ask, and refuse requests that lie about themselves

The id of an open request was taken again. Ruled out: CPU (0.04 s of 0.2 in the worst second) and descriptors (245 of 384). Checked in hyper 1.12 (role.rs, 275-297): with both framings it drops Content-Length in either order, so the pair can't be seen in its header map; a body without a length of its own gets 411.

Now: guard.rs knows what each connection waits for. A request not whole in 2 s is answered 408 or its connection closed; at the limit those that ask nothing make room. 4xx ends the connection, which lingers so that the answer arrives. Ids are claimed until no attempt is out, memory by the length stated, before a body is read. A target's 4xx is the request's fault. Repeated headers are refused. SIGHUP rereads the file; a faulty one is logged by key; the watch leaves the old discovery at once.

--- a/src/main.rs
+++ b/src/main.rs
@@ -57,7 +57,7 @@
 fn serve(file: Option<PathBuf>) -> Result<(), Box<dyn std::error::Error>> {
     let filter = EnvFilter::try_from_env("FORDRELAY_LOG").unwrap_or_else(|_| EnvFilter::new("info"));
     tracing_subscriber::fmt().with_env_filter(filter).with_writer(std::io::stderr).with_ansi(false).init();
-    Ok(lifecycle::serve(Config::load(file.as_deref())?)?)
+    Ok(lifecycle::serve(file.as_deref())?)
 }
 
 fn check(file: Option<PathBuf>) -> Result<(), Box<dyn std::error::Error>> {
--- a/src/net/lifecycle/config.rs
+++ b/src/net/lifecycle/config.rs
@@ -21,10 +21,14 @@
 const CONNECT_TIMEOUT_MS: f64 = 250.0;
 const PROBE_TIMEOUT_MS: f64 = 400.0;
 const MAX_OPEN: usize = 20_000;
-/// Memory that an open flow may need, with its body and buffers.
-const FLOW_BYTES: usize = 160 * 1024;
-/// Share of the memory, one part in so many, that open flows may take.
-const FLOWS_MEMORY: usize = 2;
+/// Share of the memory, one part in so many, that open flows may take with their bodies.
+const FLOWS_MEMORY: usize = 4;
+/// Share of the memory, one part in so many, that buffers of clients' connections may take.
+const BUFFERS_MEMORY: usize = 4;
+/// Buffers of one such connection.
+const BUFFER_BYTES: usize = 32 * 1024;
+/// Without a figure for it, so much memory is taken to be allowed.
+const MEMORY_MB: usize = 1_024;
 
 /// Why a configuration can't be used.
 #[derive(Debug, thiserror::Error)]
@@ -159,6 +163,8 @@
     pub target_connections: usize,
     /// Flows that may be open together.
     pub open_flows: usize,
+    /// Memory that they may take together.
+    pub flow_bytes: usize,
     /// A connection to a target that is not up by then has failed.
     pub connect_timeout: Micros,
     /// An idle connection to a target is closed after this.
@@ -210,9 +216,9 @@
             return Err(fault("limits.sockets", format!("is {sockets}, too few to serve with")));
         };
         let target_connections = shared * TARGETS_PERCENT / 100;
-        let memory =
-            file.limits.memory_mb.map_or(MAX_OPEN, |mb| mb * 1024 * 1024 / FLOWS_MEMORY / FLOW_BYTES);
-        if memory == 0 {
+        let memory = file.limits.memory_mb.unwrap_or(MEMORY_MB).saturating_mul(1024 * 1024);
+        let buffers = memory / BUFFERS_MEMORY / BUFFER_BYTES;
+        if buffers == 0 {
             return Err(fault("limits.memory_mb", "is too little to serve with"));
         }
         let span = |key: &str, stated: Option<f64>, default: f64| match stated.unwrap_or(default) {
@@ -251,9 +257,10 @@
             zones: facts.zones,
             kinds: facts.models,
             reports: ReportNames { x0_is_slots: x0.is_none_or(|text| text.contains("free slots")) },
-            client_connections: shared - target_connections,
+            client_connections: (shared - target_connections).min(buffers),
             target_connections,
-            open_flows: facts.allowed.max_open.unwrap_or(MAX_OPEN).min(memory),
+            open_flows: facts.allowed.max_open.unwrap_or(MAX_OPEN),
+            flow_bytes: memory / FLOWS_MEMORY,
             connect_timeout,
             idle: (idle as f64 * IDLE_SHARE) as Micros,
             probe_timeout: micros(PROBE_TIMEOUT_MS),
--- a/src/net/lifecycle/mod.rs
+++ b/src/net/lifecycle/mod.rs
@@ -8,14 +8,15 @@
 use crate::net::wire::discovery::{self, Places};
 use crate::net::wire::listener::{Listener, Phase, Terms};
 use crate::net::wire::peers::Peers;
-use crate::net::wire::{run, Desk};
+use crate::net::wire::{run, Bounds, Desk};
 use clock::Clock;
-use config::Config;
+use config::{Config, ConfigError};
 use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::{TcpListener, UdpSocket};
-use tokio::signal::unix::{signal, SignalKind};
+use tokio::signal::unix::{signal, Signal, SignalKind};
 use tokio::sync::{mpsc, watch};
 use tokio::task::{spawn_local, LocalSet};
 use tracing::{info, warn};
@@ -38,6 +39,9 @@
         /// What the system says.
         error: std::io::Error,
     },
+    /// The configuration can't be used.
+    #[error(transparent)]
+    Config(#[from] ConfigError),
     /// The settings can't be used.
     #[error("settings: {0}")]
     Settings(#[from] SettingsError),
@@ -46,22 +50,40 @@
     Io(#[from] std::io::Error),
 }
 
-/// Serves until SIGTERM or SIGINT, and until everything taken by then is answered.
+/// Serves by the configuration in the file named, or else the one that `ROUTER_CONFIG` names, until SIGTERM or
+/// SIGINT, and until everything taken by then is answered. On SIGHUP the file is read again.
 ///
 /// # Errors
 /// What keeps it from starting.
-pub fn serve(config: Config) -> Result<(), StartError> {
+pub fn serve(file: Option<&Path>) -> Result<(), StartError> {
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
-    LocalSet::new().block_on(&runtime, start(config))
+    LocalSet::new().block_on(&runtime, start(file))
 }
 
-async fn start(config: Config) -> Result<(), StartError> {
+/// Reads the configuration again at each SIGHUP. Where discovery is takes effect at once; anything else does at
+/// the next start, since flows and what is known of targets rest on it.
+async fn reload(mut hangup: Signal, file: Option<PathBuf>, discovery: watch::Sender<SocketAddr>) {
+    while hangup.recv().await.is_some() {
+        match Config::load(file.as_deref()) {
+            Ok(config) => {
+                info!(discovery = %config.discovery, "the configuration was read again");
+                discovery.send_if_modified(|at| std::mem::replace(at, config.discovery) != config.discovery);
+            }
+            Err(e) => warn!("the configuration stays as it was: {e}"),
+        }
+    }
+}
+
+async fn start(file: Option<&Path>) -> Result<(), StartError> {
+    // First of all: without a handler it would end the program.
+    let hangup = signal(SignalKind::hangup())?;
+    let config = Config::load(file)?;
     let bind = |key, addr| move |error| StartError::Bind { key, addr, error };
     let mut terminate = signal(SignalKind::terminate())?;
     let mut interrupt = signal(SignalKind::interrupt())?;
     let clock = Clock::start();
-    let longest = config.settings.classes.iter().map(|c| c.give_up).max().unwrap_or(0);
-    let longest = Duration::from_micros(longest);
+    let give_up: Vec<_> = config.settings.classes.iter().map(|c| c.give_up).collect();
+    let longest = Duration::from_micros(give_up.iter().copied().max().unwrap_or(0));
     let state = State::new(Setup {
         settings: config.settings,
         seed: config.seed,
@@ -71,7 +93,8 @@
         idle: config.idle,
         probe_timeout: config.probe_timeout,
     })?;
-    let (desk, inputs) = Desk::new(clock, config.reports);
+    let bounds = Bounds { flows: config.open_flows, bytes: config.flow_bytes };
+    let (desk, inputs) = Desk::new(clock, config.reports, bounds);
     let peers = match config.peers {
         Some(addrs) => {
             let socket = UdpSocket::bind(addrs.listen).await.map_err(bind("peer_listen", addrs.listen))?;
@@ -86,7 +109,9 @@
     let nothing = Input::Listed { kind: ListKind::Inherited, version: None, entries: vec![] };
     desk.report(config.known.map_or(nothing, |known| places.input(known, true)));
     let (watches, wanted) = mpsc::unbounded_channel();
-    spawn_local(discovery::watch(config.discovery, places, Rc::clone(&desk), wanted));
+    let (discovery_at, discovery) = watch::channel(config.discovery);
+    spawn_local(discovery::watch(discovery, places, Rc::clone(&desk), wanted));
+    spawn_local(reload(hangup, file.map(Path::to_path_buf), discovery_at));
     spawn_local(run(state, Rc::clone(&desk), inputs, watches, peers));
 
     let (phase, phases) = watch::channel(Phase::Serving);
@@ -94,12 +119,13 @@
         classes: config.classes,
         tenants: config.tenants,
         connections: config.client_connections,
-        flows: config.open_flows,
+        give_up,
     };
     let listener = Listener::new(Rc::clone(&desk), terms, phases);
     let socket = TcpListener::bind(config.listen).await.map_err(bind("listen", config.listen))?;
     let listen = socket.local_addr()?;
     let accepting = spawn_local(Rc::clone(&listener).accept(socket));
+    spawn_local(Rc::clone(&listener).sweep());
     info!(name = config.name, "serving on {listen}");
 
     tokio::select! {
--- a/src/net/state/mod.rs
+++ b/src/net/state/mod.rs
@@ -100,6 +100,13 @@
         /// The target's load report.
         report: Option<LoadReport>,
     },
+    /// The target's last word on a request that it can't use: the request is at fault.
+    Unusable {
+        /// The connection.
+        conn: ConnId,
+        /// The target's load report.
+        report: Option<LoadReport>,
+    },
     /// A message from another dispatcher.
     Told {
         /// Its number.
@@ -123,6 +130,8 @@
     },
     /// Not served, and it may have run.
     Failed,
+    /// Not served, since no target can use it.
+    Unusable,
 }
 
 /// What the reducer asks for.
--- a/src/net/state/reducer.rs
+++ b/src/net/state/reducer.rs
@@ -92,6 +92,13 @@
                 }
             }
             Input::Ended { conn, outcome, result, report } => self.last_word(conn, outcome, result, report),
+            Input::Unusable { conn, report } => {
+                if let Some((job, _, _)) = self.attempt(conn) {
+                    self.answer(job, Answer::Unusable);
+                }
+                // It says nothing of the target's health.
+                self.last_word(conn, Outcome::Unknown, None, report);
+            }
             Input::Told { from, message } => {
                 // To all means to this dispatcher too; a number out of range is nobody's.
                 if from != self.state.setup.me && from < self.state.setup.settings.dispatchers {
--- a/src/net/wire/discovery.rs
+++ b/src/net/wire/discovery.rs
@@ -15,10 +15,10 @@
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::TcpStream;
-use tokio::sync::mpsc;
+use tokio::sync::{mpsc, watch};
 use tokio::task::JoinSet;
 use tokio::time::timeout;
-use tracing::{debug, info, warn};
+use tracing::{debug, warn};
 
 /// How long a watch asks discovery to wait.
 const WATCH_WAIT: Duration = Duration::from_secs(8);
@@ -128,22 +128,42 @@
     Silent(#[from] tokio::time::error::Elapsed),
 }
 
-/// Watches the list each time that it is told to, until a call fails.
+/// Watches the list each time that it is told to, until a call fails; also, and at once, when discovery has
+/// moved. What it is not asked at its old address any more closes with the link there, also amid a call.
 pub async fn watch(
-    addr: SocketAddr,
+    mut at: watch::Receiver<SocketAddr>,
     places: Places,
     desk: Rc<Desk>,
     mut wanted: mpsc::UnboundedReceiver<Option<u64>>,
 ) {
     let mut link = None;
-    while let Some(mut after) = wanted.recv().await {
-        info!(?after, "watching the list");
+    // Another discovery may count its versions in another way: the whole list is asked for first.
+    let mut whole = false;
+    loop {
+        let mut after = tokio::select! {
+            biased;
+            () = moved(&mut at) => { (link, whole) = (None, true); None }
+            after = wanted.recv() => match after {
+                Some(after) => after.filter(|_| !whole),
+                None => return,
+            },
+        };
         loop {
+            let addr = *at.borrow_and_update();
+            debug!(%addr, ?after, "watching the list");
             let asked = desk.clock().now();
-            match call(addr, after, &mut link).await {
+            let answer = tokio::select! {
+                biased;
+                () = moved(&mut at) => {
+                    (link, whole, after) = (None, true, None);
+                    continue;
+                }
+                answer = call(addr, after, &mut link) => answer,
+            };
+            match answer {
                 Ok(list) => {
                     debug!(version = list.version, full = list.full, entries = list.servers.len(), "list");
-                    after = Some(list.version);
+                    (after, whole) = (Some(list.version), false);
                     let early = desk.clock().now() - asked < WATCH_WAIT.as_micros() as Micros / 2;
                     let pause = early && !list.full && list.servers.is_empty();
                     desk.report(places.input(list, false));
@@ -163,6 +183,13 @@
     }
 }
 
+/// Comes back when discovery has moved. Nobody can move it any more once the program ends.
+async fn moved(at: &mut watch::Receiver<SocketAddr>) {
+    if at.changed().await.is_err() {
+        std::future::pending().await
+    }
+}
+
 /// A connection to discovery; dropping it closes the socket, also amid a call.
 struct Link {
     sender: SendRequest<Empty<Bytes>>,
--- /dev/null
+++ b/src/net/wire/guard.rs
@@ -0,0 +1,201 @@
+//! What each client's connection waits for, so that those that only take up room can be closed.
+//!
+//! A client may connect and say nothing, send half a request, or ask once and stay. Each of these holds a
+//! descriptor that a usual client needs. What counts is the request that is still to come whole: a connection
+//! that carries one, or waits for its answer, is never closed to make room.
+
+use super::io::Observer;
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::sync::Notify;
+use tokio::time::Instant;
+
+/// A request must have come whole this long after its connection, or after its first byte on one that is used again.
+pub(super) const REQUEST_WAIT: Duration = Duration::from_secs(2);
+/// How much later a connection is closed whose request could not even be answered.
+const LATER: Duration = Duration::from_millis(150);
+/// A connection that has asked nothing for so long may be closed to make room: a usual client asks at once, and
+/// an answer is out by then.
+const YOUNG: Duration = Duration::from_millis(100);
+
+/// What a connection waits for, and since when.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Stage {
+    /// A whole request.
+    Asking(Instant),
+    /// The answer.
+    Answering,
+    /// The next request, of which nothing has come.
+    Idle(Instant),
+}
+
+/// One connection.
+#[derive(Debug)]
+pub(super) struct Guard {
+    stage: Cell<Stage>,
+    cut: Notify,
+}
+
+impl Guard {
+    /// Since when a whole request is waited for.
+    pub fn asking_since(&self) -> Instant {
+        match self.stage.get() {
+            Stage::Asking(since) | Stage::Idle(since) => since,
+            Stage::Answering => Instant::now(),
+        }
+    }
+
+    /// The request has come whole, or has been refused.
+    pub fn answering(&self) {
+        self.stage.set(Stage::Answering);
+    }
+
+    /// The answer is on its way.
+    pub fn idle(&self) {
+        self.stage.set(Stage::Idle(Instant::now()));
+    }
+
+    /// Comes back when the connection is to be closed, and no request has come whole meanwhile.
+    pub async fn cut(&self) {
+        loop {
+            self.cut.notified().await;
+            if self.stage.get() != Stage::Answering {
+                return;
+            }
+        }
+    }
+
+    fn heard(&self) {
+        if matches!(self.stage.get(), Stage::Idle(_)) {
+            self.stage.set(Stage::Asking(Instant::now()));
+        }
+    }
+}
+
+/// What can be done for a connection that finds no room.
+#[derive(Debug, PartialEq, Eq)]
+pub(super) enum Room {
+    /// One that nobody waits for is being closed.
+    Soon,
+    /// None may be closed yet, but one will have to ask something soon or be closed.
+    Later,
+    /// Each has a request that is being answered.
+    None,
+}
+
+/// All connections that are open.
+#[derive(Debug, Default)]
+pub(super) struct Guards {
+    open: RefCell<HashMap<u64, Rc<Guard>>>,
+    count: Cell<u64>,
+}
+
+impl Guards {
+    /// A connection that has come, and the number that it leaves by.
+    pub fn enter(&self) -> (u64, Rc<Guard>) {
+        let number = self.count.get();
+        self.count.set(number + 1);
+        let guard = Guard { stage: Cell::new(Stage::Asking(Instant::now())), cut: Notify::new() };
+        let guard = Rc::new(guard);
+        self.open.borrow_mut().insert(number, Rc::clone(&guard));
+        (number, guard)
+    }
+
+    /// It is closed.
+    pub fn leave(&self, number: u64) {
+        self.open.borrow_mut().remove(&number);
+    }
+
+    /// Connections that are open.
+    pub fn len(&self) -> usize {
+        self.open.borrow().len()
+    }
+
+    /// Closes those whose request has not come whole in time.
+    pub fn sweep(&self) {
+        for guard in self.open.borrow().values() {
+            if matches!(guard.stage.get(), Stage::Asking(since) if since.elapsed() >= REQUEST_WAIT + LATER) {
+                guard.cut.notify_one();
+            }
+        }
+    }
+
+    /// Closes the connection that has gone longest without asking anything, or else the one idle for longest.
+    pub fn make_room(&self) -> Room {
+        let open = self.open.borrow();
+        let rank = |guard: &Rc<Guard>| match guard.stage.get() {
+            Stage::Asking(since) if since.elapsed() >= YOUNG => Some((0, since)),
+            Stage::Idle(since) if since.elapsed() >= YOUNG => Some((1, since)),
+            Stage::Asking(since) | Stage::Idle(since) => Some((2, since)),
+            Stage::Answering => None,
+        };
+        let first =
+            open.values().filter_map(|guard| Some((rank(guard)?, guard))).min_by_key(|(rank, _)| *rank);
+        match first {
+            Some(((0 | 1, _), guard)) => {
+                guard.cut.notify_one();
+                Room::Soon
+            }
+            Some(_) => Room::Later,
+            None => Room::None,
+        }
+    }
+}
+
+impl Observer for Rc<Guard> {
+    fn read(&self) {
+        self.heard();
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use std::future::Future;
+    use std::task::Context;
+    use tokio::time::advance;
+
+    fn is_cut(guard: &Guard) -> bool {
+        let waker = std::task::Waker::noop();
+        std::pin::pin!(guard.cut()).poll(&mut Context::from_waker(waker)).is_ready()
+    }
+
+    /// Guards against a usual client that is cut between its requests or amid one.
+    #[tokio::test(start_paused = true)]
+    async fn only_a_request_that_does_not_come_ends_a_connection() {
+        let guards = Guards::default();
+        let [asking, answering, idle, again] = [(); 4].map(|()| guards.enter().1);
+        answering.answering();
+        idle.idle();
+        advance(REQUEST_WAIT).await;
+        again.idle();
+        again.heard();
+        advance(LATER).await;
+        guards.sweep();
+        assert_eq!([&asking, &answering, &idle, &again].map(|g| is_cut(g)), [true, false, false, false]);
+        advance(REQUEST_WAIT).await;
+        guards.sweep();
+        assert!(is_cut(&again) && !is_cut(&idle));
+    }
+
+    /// Guards against room made at the cost of a request, or of an answer that is still being written.
+    #[tokio::test(start_paused = true)]
+    async fn room_is_made_by_those_that_nobody_waits_for() {
+        let guards = Guards::default();
+        let [asking, idle, answering] = [(); 3].map(|()| guards.enter());
+        answering.1.answering();
+        idle.1.idle();
+        assert_eq!(guards.make_room(), Room::Later, "all may ask in a moment");
+        advance(YOUNG).await;
+        assert_eq!(guards.make_room(), Room::Soon);
+        assert!(is_cut(&asking.1));
+        guards.leave(asking.0);
+        assert_eq!(guards.make_room(), Room::Soon);
+        assert!(is_cut(&idle.1));
+        guards.leave(idle.0);
+        assert_eq!((guards.make_room(), guards.len()), (Room::None, 1));
+        assert!(!is_cut(&answering.1));
+    }
+}
--- a/src/net/wire/io.rs
+++ b/src/net/wire/io.rs
@@ -1,4 +1,4 @@
-//! A stream that counts what is written to it.
+//! A stream that tells what passes through it.
 
 use std::cell::Cell;
 use std::io::{IoSlice, Result};
@@ -8,32 +8,52 @@
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 
-/// A TCP stream and the bytes that the system has taken from it.
-pub(super) struct Counted {
+/// Who is told.
+pub(super) trait Observer: Unpin {
+    /// The other side has sent something.
+    fn read(&self) {}
+    /// The system has taken so many bytes.
+    fn wrote(&self, _bytes: usize) {}
+}
+
+/// Counts the bytes that the system has taken.
+impl Observer for Rc<Cell<u64>> {
+    fn wrote(&self, bytes: usize) {
+        self.set(self.get() + bytes as u64);
+    }
+}
+
+/// A TCP stream and its observer.
+pub(super) struct Observed<O> {
     stream: TcpStream,
-    written: Rc<Cell<u64>>,
+    observer: O,
 }
 
-impl Counted {
-    pub fn new(stream: TcpStream, written: Rc<Cell<u64>>) -> Self {
-        Counted { stream, written }
+impl<O: Observer> Observed<O> {
+    pub fn new(stream: TcpStream, observer: O) -> Self {
+        Observed { stream, observer }
     }
 
     fn count(&self, result: Poll<Result<usize>>) -> Poll<Result<usize>> {
         if let Poll::Ready(Ok(n)) = &result {
-            self.written.set(self.written.get() + *n as u64);
+            self.observer.wrote(*n);
         }
         result
     }
 }
 
-impl AsyncRead for Counted {
+impl<O: Observer> AsyncRead for Observed<O> {
     fn poll_read(mut self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &mut ReadBuf<'_>) -> Poll<Result<()>> {
-        Pin::new(&mut self.stream).poll_read(cx, buf)
+        let before = buf.filled().len();
+        let result = Pin::new(&mut self.stream).poll_read(cx, buf);
+        if buf.filled().len() > before {
+            self.observer.read();
+        }
+        result
     }
 }
 
-impl AsyncWrite for Counted {
+impl<O: Observer> AsyncWrite for Observed<O> {
     fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<Result<usize>> {
         let result = Pin::new(&mut self.stream).poll_write(cx, buf);
         self.count(result)
--- a/src/net/wire/listener.rs
+++ b/src/net/wire/listener.rs
@@ -1,28 +1,45 @@
 //! The listener: takes flows from clients and answers them.
 
-use super::{seconds, Desk, Passed};
+use super::guard::{Guard, Guards, Room, REQUEST_WAIT};
+use super::io::Observed;
+use super::{seconds, Desk, Passed, Unclaimed};
 use crate::api::{JobId, JobSpec, Micros};
 use crate::net::state::{Answer, Input};
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
-use hyper::body::Incoming;
-use hyper::header::{HeaderValue, ALLOW, CONNECTION, RETRY_AFTER};
+use http_body_util::{BodyExt, Full};
+use hyper::body::{Body, Incoming};
+use hyper::header::{HeaderValue, ALLOW, CONNECTION, RETRY_AFTER, TRANSFER_ENCODING};
 use hyper::server::conn::http1;
-use hyper::service::service_fn;
+use hyper::service::{service_fn, HttpService};
 use hyper::{HeaderMap, Method, Request, Response, StatusCode};
 use hyper_util::rt::{TokioIo, TokioTimer};
-use std::cell::Cell;
 use std::convert::Infallible;
+use std::future::poll_fn;
 use std::rc::Rc;
 use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{watch, Notify};
+use tokio::time::Instant;
 use tracing::{debug, warn};
 
 /// Largest body of a request.
 const LARGEST_BODY: usize = 64 * 1024;
-/// A client that has not sent a whole head by then is cut off.
-const HEAD_WAIT: Duration = Duration::from_secs(60);
+/// Largest head of a request, and what is read of a body at a time.
+const READ_BUFFER: usize = 16 * 1024;
+/// Longest id of a request.
+const LONGEST_ID: usize = 256;
+/// What a flow takes beside its body.
+const FLOW_BYTES: usize = 8 * 1024;
+/// A connection on which no request has come for so long is closed.
+const IDLE_WAIT: Duration = Duration::from_secs(60);
+/// What a client may still send after its last answer, and for how long, before the connection is closed.
+const LINGER_BYTES: u64 = 256 * 1024;
+const LINGER_WAIT: Duration = Duration::from_millis(500);
+/// How often connections are looked through for requests that don't come.
+const SWEEP: Duration = Duration::from_millis(100);
+/// How long to wait before looking again whether there is room for a connection.
+const ROOM_PAUSE: Duration = Duration::from_millis(10);
 /// Connections beyond the limit that are still taken, to be told to come again.
 const OVERFLOW: usize = 16;
 /// How long a request may have been under way when its head is read: its deadline runs from its sending.
@@ -52,8 +69,8 @@
     pub tenants: Vec<String>,
     /// Connections that may be open together.
     pub connections: usize,
-    /// Flows that may be open together.
-    pub flows: usize,
+    /// The longest that the client of a class waits, by class.
+    pub give_up: Vec<Micros>,
 }
 
 /// The listener's side of the dispatcher.
@@ -61,7 +78,7 @@
     desk: Rc<Desk>,
     terms: Terms,
     phase: watch::Receiver<Phase>,
-    open: Cell<usize>,
+    guards: Guards,
     closed: Notify,
 }
 
@@ -74,12 +91,20 @@
     Class(String),
     #[error("no tenant is called {0:?}")]
     Tenant(String),
+    #[error("{0} is given more than once")]
+    Repeated(&'static str),
+    #[error("another request with this id is open")]
+    Id,
+    #[error("a body must come with its Content-Length, and with nothing else that frames it")]
+    Framing,
     #[error("the body is over 64 KiB")]
     TooLarge,
     #[error("the body did not come whole")]
     Body,
-    #[error("the body did not come in time")]
+    #[error("the request did not come in time")]
     Slow,
+    #[error("no target can use this")]
+    Unusable,
     #[error("jobs come by POST")]
     Method,
     #[error("nothing is here")]
@@ -91,9 +116,14 @@
 impl Refusal {
     fn response(&self) -> Response<Full<Bytes>> {
         let status = match self {
-            Refusal::Header(_) | Refusal::Class(_) | Refusal::Tenant(_) | Refusal::Body => {
-                StatusCode::BAD_REQUEST
-            }
+            Refusal::Header(_)
+            | Refusal::Class(_)
+            | Refusal::Tenant(_)
+            | Refusal::Repeated(_)
+            | Refusal::Body
+            | Refusal::Unusable => StatusCode::BAD_REQUEST,
+            Refusal::Id => StatusCode::CONFLICT,
+            Refusal::Framing => StatusCode::LENGTH_REQUIRED,
             Refusal::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
             Refusal::Slow => StatusCode::REQUEST_TIMEOUT,
             Refusal::Method => StatusCode::METHOD_NOT_ALLOWED,
@@ -122,6 +152,20 @@
     }
 }
 
+/// Ends a connection so that its last answer arrives: closed with something unread, it would be reset, and an
+/// answer that the client has not read yet would be lost.
+async fn linger<S>(conn: http1::Connection<TokioIo<Observed<Rc<Guard>>>, S>)
+where
+    S: HttpService<Incoming, ResBody = Full<Bytes>>,
+    S::Error: std::error::Error + Send + Sync + 'static,
+{
+    let mut stream = conn.into_parts().io.into_inner();
+    if stream.shutdown().await.is_ok() {
+        let unread = &mut stream.take(LINGER_BYTES);
+        let _ = tokio::time::timeout(LINGER_WAIT, tokio::io::copy(unread, &mut tokio::io::sink())).await;
+    }
+}
+
 /// Tells the reducer when a client leaves: hyper drops the service's future then.
 struct Leaver<'a> {
     desk: &'a Desk,
@@ -142,22 +186,18 @@
 impl Listener {
     /// A listener that is not accepting yet.
     pub fn new(desk: Rc<Desk>, terms: Terms, phase: watch::Receiver<Phase>) -> Rc<Self> {
-        Rc::new(Listener { desk, terms, phase, open: Cell::new(0), closed: Notify::new() })
+        Rc::new(Listener { desk, terms, phase, guards: Guards::default(), closed: Notify::new() })
     }
 
     /// Connections that are open.
     pub fn open(&self) -> usize {
-        self.open.get()
+        self.guards.len()
     }
 
     /// Accepts connections until the phase is `Closing`, and what the system has accepted by then.
     pub async fn accept(self: Rc<Self>, socket: TcpListener) {
         let mut phase = self.phase.clone();
         loop {
-            // At the limit the rest waits in the system's queue until a connection has closed.
-            while self.open.get() >= self.terms.connections + OVERFLOW {
-                self.closed.notified().await;
-            }
             let accepted = tokio::select! {
                 biased;
                 accepted = socket.accept() => accepted,
@@ -165,10 +205,9 @@
             };
             match accepted {
                 Ok((stream, _)) => {
-                    self.open.set(self.open.get() + 1);
-                    // Beyond the limit a connection is there only to be told to come again.
-                    let crowded = self.open.get() > self.terms.connections;
-                    tokio::task::spawn_local(Rc::clone(&self).connection(stream, crowded));
+                    let crowded = self.room().await;
+                    let (number, guard) = self.guards.enter();
+                    tokio::task::spawn_local(Rc::clone(&self).connection(stream, crowded, number, guard));
                 }
                 Err(e) => {
                     // Out of descriptors, or the client was gone before: neither may end the loop.
@@ -179,30 +218,59 @@
         }
     }
 
-    async fn connection(self: Rc<Self>, stream: TcpStream, crowded: bool) {
+    /// Waits until there is room for one more connection, and makes some where nobody is waited for. Tells
+    /// whether that connection is beyond the limit, there only to be told to come again.
+    async fn room(&self) -> bool {
+        while self.open() >= self.terms.connections {
+            if self.guards.make_room() == Room::None && self.open() < self.terms.connections + OVERFLOW {
+                return true;
+            }
+            // The rest waits in the system's queue.
+            let _ = tokio::time::timeout(ROOM_PAUSE, self.closed.notified()).await;
+        }
+        false
+    }
+
+    /// Closes connections whose requests don't come, as long as the program runs.
+    pub async fn sweep(self: Rc<Self>) {
+        loop {
+            tokio::time::sleep(SWEEP).await;
+            self.guards.sweep();
+        }
+    }
+
+    async fn connection(self: Rc<Self>, stream: TcpStream, crowded: bool, number: u64, guard: Rc<Guard>) {
         if let Err(e) = stream.set_nodelay(true) {
             debug!("can't set TCP_NODELAY: {e}");
         }
-        let service = service_fn(|request| self.respond(request, crowded));
+        let service = service_fn(|request| Box::pin(self.respond(request, crowded, &guard)));
         let mut phase = self.phase.clone();
-        let conn = http1::Builder::new()
+        let mut conn = http1::Builder::new()
             .timer(TokioTimer::new())
-            .header_read_timeout(HEAD_WAIT)
-            .max_buf_size(2 * LARGEST_BODY)
-            .serve_connection(TokioIo::new(stream), service);
-        tokio::pin!(conn);
-        let result = tokio::select! {
-            biased;
-            result = &mut conn => result,
-            _ = phase.wait_for(|p| *p == Phase::Closing) => {
-                conn.as_mut().graceful_shutdown();
-                conn.await
+            .header_read_timeout(IDLE_WAIT)
+            .max_buf_size(READ_BUFFER)
+            .serve_connection(TokioIo::new(Observed::new(stream, Rc::clone(&guard))), service);
+        let served = async {
+            let result = tokio::select! {
+                biased;
+                result = poll_fn(|cx| conn.poll_without_shutdown(cx)) => result,
+                _ = phase.wait_for(|p| *p == Phase::Closing) => {
+                    Pin::new(&mut conn).graceful_shutdown();
+                    poll_fn(|cx| conn.poll_without_shutdown(cx)).await
+                }
+            };
+            if let Err(e) = result {
+                debug!("a client's connection ended: {e}");
             }
+            linger(conn).await;
         };
-        if let Err(e) = result {
-            debug!("a client's connection ended: {e}");
+        tokio::select! {
+            biased;
+            () = served => {}
+            () = guard.cut() => debug!("a client's connection that asks nothing is closed"),
         }
-        self.open.set(self.open.get() - 1);
+        // The socket is closed by now.
+        self.guards.leave(number);
         self.closed.notify_one();
     }
 
@@ -210,17 +278,21 @@
         &self,
         request: Request<Incoming>,
         crowded: bool,
+        guard: &Guard,
     ) -> Result<Response<Full<Bytes>>, Infallible> {
-        let mut response = match self.route(request, crowded).await {
+        let mut response = match self.route(request, crowded, guard).await {
             Ok(response) => response,
             Err(refusal) => {
                 debug!("fixed response: {refusal}");
                 refusal.response()
             }
         };
-        if crowded || *self.phase.borrow() != Phase::Serving {
+        // Who sends what can't be used may have sent more of it.
+        let ends = crowded || response.status().is_client_error() || *self.phase.borrow() != Phase::Serving;
+        if ends {
             response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
         }
+        guard.idle();
         Ok(response)
     }
 
@@ -228,11 +300,12 @@
         &self,
         request: Request<Incoming>,
         crowded: bool,
+        guard: &Guard,
     ) -> Result<Response<Full<Bytes>>, Refusal> {
         match (request.method(), request.uri().path()) {
             (&Method::GET, "/ready") => Ok(fixed(StatusCode::OK, "ready\n".into())),
             (&Method::POST, "/ready") => Err(Refusal::Path),
-            (&Method::POST, _) => self.flow(request, crowded).await,
+            (&Method::POST, _) => self.flow(request, crowded, guard).await,
             (&Method::GET, _) => Err(Refusal::Path),
             _ => Err(Refusal::Method),
         }
@@ -242,29 +315,42 @@
         &self,
         request: Request<Incoming>,
         crowded: bool,
+        guard: &Guard,
     ) -> Result<Response<Full<Bytes>>, Refusal> {
         let came = self.desk.clock().now();
         let (head, body) = request.into_parts();
+        // A length beside it may hide another request in the body, and hyper drops that length unseen.
+        if head.headers.contains_key(TRANSFER_ENCODING) {
+            return Err(Refusal::Framing);
+        }
+        let length = body.size_hint().upper().ok_or(Refusal::Framing)?;
+        if length > LARGEST_BODY as u64 {
+            return Err(Refusal::TooLarge);
+        }
         let (id, mut spec) = self.read(&head.headers, came)?;
-        if crowded || self.desk.open_flows() >= self.terms.flows {
+        if crowded {
             return Err(Refusal::Overload);
         }
+        let _claim = self.desk.claim(&id, length as usize + FLOW_BYTES).map_err(|e| match e {
+            Unclaimed::Repeated => Refusal::Id,
+            Unclaimed::Full => Refusal::Overload,
+        })?;
         let wait = Duration::from_micros(spec.expires.saturating_sub(came));
-        let body = Limited::new(body, LARGEST_BODY).collect();
-        let body = match tokio::time::timeout(wait, body).await {
+        let until = (guard.asking_since() + REQUEST_WAIT).min(Instant::now() + wait);
+        let body = match tokio::time::timeout_at(until, body.collect()).await {
             Err(_) => return Err(Refusal::Slow),
-            Ok(Err(e)) if e.is::<LengthLimitError>() => return Err(Refusal::TooLarge),
             Ok(Err(_)) => return Err(Refusal::Body),
             Ok(Ok(body)) => body.to_bytes(),
         };
+        guard.answering();
         let key = head.headers.get("idempotency-key").cloned();
-        let passed_id = id.clone();
         let path = head.uri.into_parts().path_and_query.ok_or(Refusal::Path)?;
-        let passed = Passed { method: head.method, path, id, key, body };
+        debug!(?id, %path, "whole");
+        let passed = Passed { method: head.method, path, id, key, body, _claim };
         let (flow, answer) = self.desk.open(passed);
         let mut leaver = Leaver { desk: &self.desk, flow, answered: false };
         spec.id = flow;
-        debug!(flow = flow.0, id = ?passed_id, class = spec.class, left = spec.expires - came, "taken");
+        debug!(flow = flow.0, class = spec.class, left = spec.expires - came, "taken");
         self.desk.report(Input::Taken(spec));
         let answer = answer.await;
         leaver.answered = true;
@@ -276,6 +362,7 @@
                 wait.into_iter().for_each(|wait| retry_after(&mut response, wait));
                 response
             }
+            Ok(Answer::Unusable) => return Err(Refusal::Unusable),
             // The sender is dropped unused only when the program ends amid it.
             Ok(Answer::Failed) | Err(_) => fixed(StatusCode::BAD_GATEWAY, "failed\n".into()),
         })
@@ -283,12 +370,19 @@
 
     /// Takes out what the decisions need.
     fn read(&self, headers: &HeaderMap, came: Micros) -> Result<(HeaderValue, JobSpec), Refusal> {
-        let text = |name: &'static str| match headers.get(name).map(HeaderValue::to_str) {
+        // Said twice, a target or another party may read the other one.
+        let only = |name: &'static str| {
+            let mut all = headers.get_all(name).iter();
+            let first = all.next();
+            all.next().map_or(Ok(first), |_| Err(Refusal::Repeated(name)))
+        };
+        let text = |name: &'static str| match only(name)?.map(HeaderValue::to_str) {
             None => Ok(None),
             Some(text) => text.map(|t| Some(t.trim())).map_err(|_| Refusal::Header(name)),
         };
-        let id = headers.get("req-id").filter(|id| !id.is_empty()).ok_or(Refusal::Header("Req-Id"))?;
-        text("req-id")?;
+        let sound = |id: &&HeaderValue| !id.is_empty() && id.len() <= LONGEST_ID && id.to_str().is_ok();
+        let id = only("req-id")?.filter(sound).ok_or(Refusal::Header("Req-Id"))?;
+        only("idempotency-key")?;
         let kind = text("req-kind")?.ok_or(Refusal::Header("Req-Kind"))?;
         let named = |names: &[String], name: &str| names.iter().position(|n| n == name);
         let class = named(&self.terms.classes, kind).ok_or_else(|| Refusal::Class(kind.to_owned()))?;
@@ -310,7 +404,9 @@
                 slots = figure(value.trim()).ok_or(Refusal::Header("Req-Extra"))?;
             }
         }
-        let expires = came + micros(deadline).saturating_sub(TRAVEL);
+        // No client of the class waits for longer than that, whatever it says.
+        let longest = self.terms.give_up.get(class).copied().unwrap_or(Micros::MAX);
+        let expires = came + micros(deadline).saturating_sub(TRAVEL).min(longest);
         let work = work.map(micros);
         Ok((id.clone(), JobSpec { id: JobId(0), class, tenant, slots, expires, work }))
     }
@@ -321,6 +417,7 @@
     match answer {
         Ok(Answer::Served(_)) => "served",
         Ok(Answer::Refused { .. }) => "refused",
+        Ok(Answer::Unusable) => "unusable",
         Ok(Answer::Failed) | Err(_) => "failed",
     }
 }
--- a/src/net/wire/mod.rs
+++ b/src/net/wire/mod.rs
@@ -1,6 +1,7 @@
 //! What is spoken on sockets, and the loop that carries out the reducer's effects.
 
 pub mod discovery;
+mod guard;
 mod io;
 pub mod listener;
 pub mod peers;
@@ -17,13 +18,43 @@
 use hyper::http::HeaderValue;
 use hyper::Method;
 use std::cell::{Cell, RefCell};
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::sync::{mpsc, oneshot};
 
+/// What is open together at most.
+#[derive(Debug, Clone, Copy)]
+pub struct Bounds {
+    /// Flows.
+    pub flows: usize,
+    /// Bytes that they take.
+    pub bytes: usize,
+}
+
+/// What a flow holds from its head on until nothing of it is out any more: its id, and a part of the memory.
+struct Claim {
+    desk: Rc<Desk>,
+    id: Vec<u8>,
+    bytes: usize,
+}
+
+impl Drop for Claim {
+    fn drop(&mut self) {
+        self.desk.ids.borrow_mut().remove(&self.id);
+        self.desk.claimed.set(self.desk.claimed.get() - self.bytes);
+    }
+}
+
+/// Why a flow is not taken.
+enum Unclaimed {
+    /// Another one with its id is open.
+    Repeated,
+    /// There is no room.
+    Full,
+}
+
 /// What goes on to a target as it came.
-#[derive(Debug)]
 pub struct Passed {
     /// The method.
     pub method: Method,
@@ -35,6 +66,8 @@
     pub key: Option<HeaderValue>,
     /// The body.
     pub body: Bytes,
+    /// Held as long as an attempt may be out.
+    _claim: Claim,
 }
 
 /// A flow that waits for its answer.
@@ -48,16 +81,38 @@
     inputs: mpsc::UnboundedSender<Input>,
     clock: Clock,
     names: ReportNames,
+    bounds: Bounds,
+    ids: RefCell<HashSet<Vec<u8>>>,
+    claimed: Cell<usize>,
     waiting: RefCell<HashMap<JobId, Waiting>>,
     flows: Cell<u64>,
 }
 
 impl Desk {
     /// A desk, and the inputs that are reported to it.
-    pub fn new(clock: Clock, names: ReportNames) -> (Rc<Self>, mpsc::UnboundedReceiver<Input>) {
+    pub fn new(
+        clock: Clock,
+        names: ReportNames,
+        bounds: Bounds,
+    ) -> (Rc<Self>, mpsc::UnboundedReceiver<Input>) {
         let (inputs, receiver) = mpsc::unbounded_channel();
-        let (waiting, flows) = Default::default();
-        (Rc::new(Desk { inputs, clock, names, waiting, flows }), receiver)
+        let (ids, claimed, waiting, flows) = Default::default();
+        (Rc::new(Desk { inputs, clock, names, bounds, ids, claimed, waiting, flows }), receiver)
+    }
+
+    /// Claims the id and the memory of a flow, before its body is read.
+    fn claim(self: &Rc<Self>, id: &HeaderValue, bytes: usize) -> Result<Claim, Unclaimed> {
+        let mut ids = self.ids.borrow_mut();
+        let claimed = self.claimed.get().saturating_add(bytes);
+        if ids.contains(id.as_bytes()) {
+            return Err(Unclaimed::Repeated);
+        }
+        if ids.len() >= self.bounds.flows || claimed > self.bounds.bytes {
+            return Err(Unclaimed::Full);
+        }
+        ids.insert(id.as_bytes().to_vec());
+        self.claimed.set(claimed);
+        Ok(Claim { desk: Rc::clone(self), id: id.as_bytes().to_vec(), bytes })
     }
 
     /// Reports to the reducer. It is gone only when the program ends.
--- a/src/net/wire/target.rs
+++ b/src/net/wire/target.rs
@@ -1,6 +1,6 @@
 //! The target client: one task for each connection, from its opening to its closing.
 
-use super::io::Counted;
+use super::io::Observed;
 use super::{seconds, Desk, Passed, ReportNames};
 use crate::api::{LoadReport, Micros, Outcome};
 use crate::net::state::{ConnId, Input};
@@ -93,7 +93,7 @@
     if let Err(e) = stream.set_nodelay(true) {
         debug!("can't set TCP_NODELAY: {e}");
     }
-    let io = TokioIo::new(Counted::new(stream, Rc::clone(written)));
+    let io = TokioIo::new(Observed::new(stream, Rc::clone(written)));
     let Ok((mut sender, conn)) = http1::handshake::<_, Full<Bytes>>(io).await else { return };
     tokio::pin!(conn);
     desk.report(Input::Up(id));
@@ -188,12 +188,15 @@
     let response = sender.send_request(request.body(Full::new(passed.body.clone()))?).await?;
     if response.status() != StatusCode::OK {
         let declined = response.headers().get("srv-declined").is_some_and(|v| v.as_bytes() == b"1");
-        let outcome = match response.status() {
-            StatusCode::SERVICE_UNAVAILABLE | StatusCode::GATEWAY_TIMEOUT if declined => Outcome::Full,
-            _ => Outcome::Error,
-        };
         let report = header_report(&response, &desk.names);
-        desk.report(ended(id, LastWord { outcome, result: None, report }));
+        desk.report(match response.status() {
+            StatusCode::SERVICE_UNAVAILABLE | StatusCode::GATEWAY_TIMEOUT if declined => {
+                ended(id, LastWord { outcome: Outcome::Full, result: None, report })
+            }
+            // The request is at fault, not the target.
+            status if status.is_client_error() => Input::Unusable { conn: id, report },
+            _ => ended(id, LastWord { outcome: Outcome::Error, result: None, report }),
+        });
         return collect(response.into_body()).await.map(drop);
     }
     let report = header_report(&response, &desk.names);
--- a/tests/serve.rs
+++ b/tests/serve.rs
@@ -190,6 +190,11 @@
         }
     }
 
+    fn signal(&self, name: &str) {
+        let sent = Command::new("kill").args(["-s", name, &self.child.id().to_string()]).status();
+        assert!(sent.unwrap().success());
+    }
+
     fn connect(&self) -> BufReader<TcpStream> {
         BufReader::new(TcpStream::connect(self.addr).unwrap())
     }
@@ -243,7 +248,13 @@
     }
 }
 
-/// Guards against malformed requests that reach a target or end the program.
+/// A request whose body, by one of its framings, holds another request.
+fn smuggled(framing: &str) -> String {
+    let inner = job("settle").replace("9b1f", "9b20");
+    job("watch").replace("Content-Length: 3", framing).replace("\x01{ ", &format!("0\r\n\r\n{inner}"))
+}
+
+/// Guards against malformed requests that reach a target or end the program, and against what comes after them.
 #[rstest]
 #[case::no_id(job("watch").replace("Req-Id", "X-Id"), "400")]
 #[case::unknown_class(job("dance"), "400")]
@@ -252,12 +263,22 @@
 #[case::bad_extra(job("watch").replace("Idempotency-Key: kE", "Req-Extra: slots=many"), "400")]
 #[case::too_large(job("watch").replace("Length: 3", "Length: 65537") + &" ".repeat(65_534), "413")]
 #[case::other_method(job("watch").replace("POST", "PUT"), "405")]
+#[case::huge(job("watch").replace("Length: 3", "Length: 60000000"), "413")]
+#[case::negative(job("watch").replace("Length: 3", "Length: -3"), "400")]
+#[case::two_ids(job("watch").replace("Req-Id: 9b1f", "Req-Id: 9b1f\r\nReq-Id: 9b20"), "400")]
+#[case::two_deadlines(job("watch").replace("Deadline: 50", "Deadline: 50\r\nReq-Deadline: 9"), "400")]
+#[case::two_lengths(job("watch").replace("Length: 3", "Length: 3\r\nContent-Length: 4"), "400")]
+#[case::chunked(job("watch").replace("Content-Length: 3", "Transfer-Encoding: chunked"), "411")]
+#[case::length_hidden_after(smuggled("Transfer-Encoding: chunked\r\nContent-Length: 3"), "411")]
+#[case::length_hidden_before(smuggled("Content-Length: 3\r\nTransfer-Encoding: chunked"), "411")]
 fn a_malformed_request_gets_a_fixed_response(#[case] request: String, #[case] status: &str) {
     let target = serving();
     let (program, _calls) = with_target(&target);
     let mut client = program.connect();
     client.get_mut().write_all(request.as_bytes()).unwrap();
-    assert_eq!(read(&mut client).unwrap().status(), status);
+    let answer = read(&mut client).unwrap();
+    assert_eq!((answer.status(), answer.header("connection")), (status, Some("close")));
+    assert!(read(&mut client).is_none(), "closed");
     assert_eq!(program.ask("watch").status(), "200");
     assert_eq!(target.seen.recv().unwrap().1.unwrap().header("req-kind"), None, "only the second came");
     assert!(target.seen.try_recv().is_err());
@@ -327,8 +348,7 @@
     let mut waiting = program.connect();
     waiting.get_mut().write_all(job("settle").as_bytes()).unwrap();
     assert!(target.seen.recv().unwrap().1.is_some());
-    let killed = Command::new("kill").args(["-TERM", &program.child.id().to_string()]).status().unwrap();
-    assert!(killed.success());
+    program.signal("TERM");
     program.wait_for("told to stop");
     let mut late = program.connect();
     late.get_mut().write_all(b"GET /ready HTTP/1.1\r\nHost: h\r\n\r\n").unwrap();
@@ -357,14 +377,109 @@
 /// program goes on.
 #[test]
 fn connections_over_the_limit_are_refused_and_others_go_on() {
-    let target = serving();
+    let (release, gate) = channel::<()>();
+    let gate = std::sync::Arc::new(std::sync::Mutex::new(gate));
+    let target = peer(move |m| {
+        let _ = gate.lock().unwrap().recv();
+        Some(lines(m, &[STARTED, DONE]))
+    });
     let (addr, _calls) = discovery(vec![]);
     let program = Program::start(&list(1, true, &[(target.addr, "ready")]), addr, 90);
     let mut clients: Vec<_> = (0..28).map(|_| program.connect()).collect();
+    for (n, client) in clients.iter_mut().enumerate() {
+        client.get_mut().write_all(job("watch").replace("9b1f", &format!("{n}")).as_bytes()).unwrap();
+    }
     let refused = program.ask("watch");
     assert_eq!((refused.status(), refused.header("connection")), ("503", Some("close")));
     assert!(refused.header("retry-after").is_some());
     let mut last = clients.pop().unwrap();
-    last.get_mut().write_all(job("watch").as_bytes()).unwrap();
+    drop(release);
     assert_eq!(read(&mut last).unwrap().status(), "200");
 }
+
+/// Guards against clients that connect by hundreds and say nothing, send half a head, half a body or ask once
+/// and stay: none of them is waited for, and none keeps a usual client out.
+#[rstest]
+#[case::silent("")]
+#[case::half_a_head("POST /a HTTP/1.1\r\nReq-")]
+#[case::half_a_body(
+    "POST /a HTTP/1.1\r\nReq-Id: ID\r\nReq-Kind: watch\r\nReq-Deadline: 50\r\nContent-Length: 3\r\n\r\n1"
+)]
+#[case::asked_once("GET /ready HTTP/1.1\r\nHost: h\r\n\r\n")]
+fn clients_that_do_not_ask_keep_no_usual_client_out(#[case] says: &str) {
+    let target = serving();
+    let (addr, _calls) = discovery(vec![]);
+    let program = Program::start(&list(1, true, &[(target.addr, "ready")]), addr, 90);
+    let mut idle: Vec<_> = (0..60).map(|_| program.connect()).collect();
+    for (n, client) in idle.iter_mut().enumerate() {
+        // One that is cut while the others are still written to is what this is about.
+        let _ = client.get_mut().write_all(says.replace("ID", &format!("x{n}")).as_bytes());
+    }
+    assert_eq!(program.ask("watch").status(), "200");
+    // Only hangs in a program that waits for what never comes.
+    if !says.starts_with("GET") {
+        let mut rest = vec![];
+        idle.iter_mut().for_each(|client| drop(client.read_to_end(&mut rest)));
+    }
+}
+
+/// Guards against two attempts of one request: an id that is open already is refused until it is not any more.
+#[test]
+fn the_id_of_an_open_request_is_refused() {
+    let (release, gate) = channel::<()>();
+    let gate = std::sync::Arc::new(std::sync::Mutex::new(gate));
+    let target = peer(move |m| {
+        gate.lock().unwrap().recv().ok()?;
+        Some(lines(m, &[STARTED, DONE]))
+    });
+    let (program, _calls) = with_target(&target);
+    let mut first = program.connect();
+    first.get_mut().write_all(job("settle").as_bytes()).unwrap();
+    assert!(target.seen.recv().unwrap().1.is_some());
+    assert_eq!(program.ask("settle").status(), "409");
+    release.send(()).unwrap();
+    assert_eq!(read(&mut first).unwrap().status(), "200");
+    release.send(()).unwrap();
+    assert_eq!(program.ask("settle").status(), "200");
+}
+
+/// Guards against requests that no target can use: they are answered, not tried again, and held against none.
+#[test]
+fn what_a_target_turns_down_as_unusable_is_not_held_against_it() {
+    let bad = |m: &Message| m.header("req-id") == Some("bad");
+    let target =
+        peer(move |m| Some(if bad(m) { plain("400 Bad Request", "") } else { lines(m, &[STARTED, DONE]) }));
+    let (program, _calls) = with_target(&target);
+    for _ in 0..5 {
+        let mut client = program.connect();
+        client.get_mut().write_all(job("watch").replace("9b1f", "bad").as_bytes()).unwrap();
+        assert_eq!(read(&mut client).unwrap().status(), "400");
+    }
+    assert_eq!(program.ask("watch").status(), "200");
+    let ids: Vec<_> = target.seen.try_iter().filter_map(|(_, m)| m).collect();
+    assert_eq!(ids.iter().filter(|m| bad(m)).count(), 5, "each once");
+}
+
+/// Guards against a program that ends on SIGHUP, keeps to the old discovery, or takes a faulty file over.
+#[test]
+fn on_sighup_the_file_is_read_again_and_discovery_followed() {
+    let (old, new) = (serving(), serving());
+    let (there, calls) = discovery(vec![]);
+    let moved = list(2, true, &[(old.addr, "gone"), (new.addr, "ready")]);
+    let (here, next_calls) = discovery(vec![plain("200 OK", &moved)]);
+    let mut program = Program::start(&list(1, true, &[(old.addr, "ready")]), there, 1_024);
+    assert!(calls.recv().unwrap().1.is_some(), "it watches the old one, which keeps it waiting");
+    let good = std::fs::read_to_string(&program.config).unwrap();
+    std::fs::write(&program.config, good.replace("\"seed\":\"2a\"", "\"seed\":\"x\"")).unwrap();
+    program.signal("HUP");
+    program.wait_for("stays as it was: seed: ");
+    assert_eq!(program.ask("watch").status(), "200");
+    std::fs::write(&program.config, good.replace(&there.to_string(), &here.to_string())).unwrap();
+    program.signal("HUP");
+    assert!(calls.recv().unwrap().1.is_none(), "the call there is given up");
+    assert_eq!(next_calls.recv().unwrap().1.unwrap().first, "GET /v1/endpoints HTTP/1.1");
+    while !next_calls.recv().unwrap().1.is_some_and(|m| m.first.contains("index=2")) {}
+    let _ = old.seen.try_iter().count();
+    assert_eq!(program.ask("watch").status(), "200");
+    assert!(new.seen.recv().unwrap().1.is_some());
+}
