Draw jobs to the workers that keep their key; refuse late jobs that are given up at once

Cause: decide.rs knew no key (JobSpec had none), so each target fetched what each job needs from one store of limited capacity; 45 % of runs held their slots for that.

Now: three homes a key, by rendezvous hashing of the key and the name that all dispatchers share. The random draw stays weighted by room and pace, times 40 for each step nearer home; after half a mean run any worker will do. A cold worker gets 0.4 of what tips it, not 0.25; free slots are read at a higher quantile.

A job is now refused with Retry-After as soon as what goes before it would outlast its time, or while better ones are held and it brings less than a slot is worth.

--- a/src/api.rs
+++ b/src/api.rs
@@ -307,6 +307,8 @@
 pub struct Listing {
     /// The worker.
     pub worker: WorkerId,
+    /// A number for it that is the same at every dispatcher.
+    pub mark: u32,
     /// Whether it takes work.
     pub status: Status,
     /// Its machine kind.
@@ -356,6 +358,8 @@
     pub expires: Micros,
     /// Expected work on a standard core, where the site gives it.
     pub work: Option<Micros>,
+    /// What it needs at a worker and other jobs need too, as a number that is the same at every dispatcher.
+    pub key: Option<u64>,
 }
 
 /// How an attempt ended.
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -3,6 +3,7 @@
 //! none open it is held. Only `push` sends and only `finish` answers: the rules are kept there.
 
 use crate::api::*;
+use crate::told::kin;
 use rand_pcg::rand_core::{RngCore, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 use std::cmp::Reverse;
@@ -18,18 +19,21 @@
 const MAX: f64 = 8.0;
 
 const BASE_SLOTS: f64 = 4.0; // slots of a worker before anything is known of any
-const FREE_QUANTILE: f64 = 0.9; // of the free slots reported: that many slots has a worker
-const FREE_STEP: f64 = 0.25; // how fast the quantile is followed
+const FREE_QUANTILE: f64 = 0.98; // of the free slots reported: that many slots has a worker
+const FREE_STEP: f64 = 0.5; // how fast the quantile is followed
 const ROOM_SLACK: f64 = 0.35; // room within this much of a job's slots is enough: reports are noisy
 const HURRY: f64 = 3.0; // how fast a wide job gives up waiting for all its slots at once
 const AGEING: f64 = 2.0; // a report's weight has halved after this many mean runs
 const RESCAN: f64 = 0.02; // workers are looked through once in this share of a mean run
 const SAMPLE: usize = 24; // workers in a look at most: its cost must not grow with the fleet
+const HOMES: usize = 3; // workers meant for a key, to which its jobs go at once: what they need is kept there
+const KIN: f64 = 40.0; // a home draws its jobs so many times more than the next one
+const AWAY: f64 = 0.5; // mean runs after which a job may go to any other, too
 const PACE_PRIOR: f64 = 4.0; // runs that the pace of a worker starts with
 const PACE_MEMORY: f64 = 12.0; // ... and remembers
 const RUN_CAP: f64 = 4.0; // expected runs that one counts for in a pace: a long job doesn't make it slow
 
-const PROBE_SPEND: f64 = 0.006; // share of all worth, on probes: little against what a crowded pick loses
+const PROBE_SPEND: f64 = 0.005; // share of all worth, on probes: little against what a crowded pick loses
 const KNOWN: f64 = 0.8; // share of what a worker holds that must be known, or probes go ahead of a job
 const SCOUTS: usize = 2; // probes out for a held job
 const MOST_SCOUTS: usize = 8; // ... and for all of them
@@ -44,12 +48,13 @@
 const START_OVERDUE: f64 = 0.5; // share of its aim: an attempt unstarted then is a failure to the back-off
 const WASTE_PATIENCE: f64 = 15.0; // ... or aims per unit of the price of waste, where that is longer
 const ERRORS: u32 = 2; // error answers in a row that are a failure: single ones happen anywhere
-const COLD_SAFETY: f64 = 0.25; // share of what tips one: gaps shrink as it warms, slow kinds stand less
+const COLD_SAFETY: f64 = 0.4; // share of what tips one: gaps shrink as it warms, slow kinds stand less
 const COLD_JOB: f64 = 0.25; // share of it that one job may take
-const RUN_SPREAD: f64 = 1.4; // a run may take this multiple of what was expected: jobs and workers differ
+const RUN_SPREAD: f64 = 1.8; // a run may take this multiple of what was expected: jobs and workers differ
 const PRICE_UP: f64 = 1.12; // a slot's price grows by this for a job that would pay it and is late
 const PRICE_DOWN: f64 = 0.95; // ... and falls by this for one in time: with a third late it stands
 const PRICE_FLOOR: f64 = 0.02; // share of the best gain from which it rises
+const LAST: f64 = 0.7; // share of a run without which a job is not worth a start before its client leaves
 const TALLY: f64 = 200.0; // jobs that the tallies of the classes remember
 const BUCKETS: u64 = 64; // parts of a retry budget's window in which jobs taken are counted together
 
@@ -82,10 +87,7 @@
     }
 
     fn success(&mut self, unit_span: f64, rng: &mut Pcg64Mcg) {
-        if self.interval == 0.0 {
-            return;
-        }
-        self.successes += 1;
+        self.successes += u32::from(self.interval > 0.0);
         if self.successes >= SUCCESSES_DOWN {
             self.successes = 0;
             let lower = Self::jittered(self.interval * DOWN, unit_span, rng);
@@ -145,6 +147,10 @@
         self.outstanding.iter().position(|o| o.job == job && o.attempt == attempt)
     }
 
+    fn open(&self, now: Micros, grace: Micros) -> bool {
+        self.ready() && self.backoff.open(now) && !self.blocked(now, grace)
+    }
+
     fn blocked(&self, now: Micros, grace: Micros) -> bool {
         let waits = |o: &Outstanding| o.started.is_none() && now > o.due;
         self.probing.is_some_and(|t| now > t + grace) || self.outstanding.iter().any(waits)
@@ -192,6 +198,7 @@
     start_by: Micros, // started later than this it is hardly in time
     attempts: Vec<Attempt>,
     held: Option<Lane>,
+    homes: Vec<WorkerId>, // where what it needs is likely kept, the likeliest first
     over: bool,
 }
 
@@ -290,6 +297,7 @@
     timers: BinaryHeap<Reverse<(Micros, Timer)>>,
     armed: Option<Micros>,
     rescan_at: Micros,
+    grace: Micros, // an answer within this is prompt
     watch: Backoff,
 }
 
@@ -305,7 +313,6 @@
     held: BTreeMap<Lane, VecDeque<JobId>>,
     classes: Vec<Tally>,
     kinds: BTreeMap<u32, Kind>,
-    grace: Micros, // an answer within this is prompt
     budget: Budget,
     fleet: Fleet,
 }
@@ -323,21 +330,9 @@
         let grace = span(shortest as f64 * START_GRACE);
         let rng = Pcg64Mcg::seed_from_u64(seed);
         let budget = Budget { rule: settings.rules.retry_budget, ..Budget::default() };
-        let (now, clock, workers, jobs, held, kinds, fleet) = Default::default();
-        Ok(Dispatcher {
-            settings,
-            rng,
-            now,
-            clock,
-            workers,
-            jobs,
-            held,
-            classes,
-            kinds,
-            grace,
-            budget,
-            fleet,
-        })
+        let (now, workers, jobs, held, kinds, fleet) = Default::default();
+        let clock = Clock { grace, ..Clock::default() };
+        Ok(Dispatcher { settings, rng, now, clock, workers, jobs, held, classes, kinds, budget, fleet })
     }
 
     /// Takes the time and one event, and appends what to do.
@@ -372,13 +367,11 @@
     }
 
     fn on_listed(&mut self, kind: ListKind, entries: &[Listing], out: &mut Vec<Action>) {
-        self.clock.rescan_at = 0;
-        if kind != ListKind::Changes {
-            let listed: BTreeSet<WorkerId> = entries.iter().map(|e| e.worker).collect();
-            for (_, worker) in self.workers.iter_mut().filter(|(id, _)| !listed.contains(id)) {
-                worker.listing.status = Status::Gone;
-            }
-        }
+        (self.clock.rescan_at, self.clock.watch) = (0, Backoff::default());
+        let listed: BTreeSet<WorkerId> = entries.iter().map(|e| e.worker).collect();
+        let kept = |id: &WorkerId| kind == ListKind::Changes || listed.contains(id);
+        let left = self.workers.iter_mut().filter(|(id, _)| !kept(id));
+        left.for_each(|(_, w)| w.listing.status = Status::Gone);
         for entry in entries {
             let worker = self.workers.entry(entry.worker).or_default();
             let started = entry.started.map(|t| t.min(self.now)).max(worker.listing.started);
@@ -407,46 +400,55 @@
     }
 
     fn on_list_failed(&mut self) {
-        if let Discovery::OnRequest { ask_within } = self.settings.discovery {
-            // Paced like pushes; the longest pause is well within what the rules allow.
-            self.clock.watch.failure(self.now, ask_within as f64 / 32.0, &mut self.rng);
-            self.clock.timers.push(Reverse((self.clock.watch.open_at, Timer::Rewatch)));
-        }
+        let Discovery::OnRequest { ask_within } = self.settings.discovery else { return };
+        // Paced like pushes; the longest pause is well within what the rules allow.
+        self.clock.watch.failure(self.now, ask_within as f64 / 32.0, &mut self.rng);
+        self.clock.timers.push(Reverse((self.clock.watch.open_at, Timer::Rewatch)));
     }
 
     fn on_job(&mut self, spec: JobSpec, out: &mut Vec<Action>) {
         if spec.class >= self.settings.classes.len() || self.jobs.contains_key(&spec.id) {
-            out.push(Action::Fail { job: spec.id });
-            return;
+            return out.push(Action::Fail { job: spec.id });
         }
         self.budget.take(self.now);
         let (id, class, expires) = (spec.id, spec.class, spec.expires);
         self.fleet.best -= self.fleet.best / TALLY;
-        for t in &mut self.classes {
-            [&mut t.arrivals, &mut t.asked, &mut t.in_time].into_iter().for_each(|c| *c -= *c / TALLY);
-        }
-        let tally = &mut self.classes[class];
-        tally.arrivals += 1.0;
-        let work = spec.work.map_or(tally.run, |w| w as f64).max(1.0);
+        let tallies = self.classes.iter_mut().flat_map(|t| [&mut t.arrivals, &mut t.asked, &mut t.in_time]);
+        tallies.for_each(|count| *count -= *count / TALLY);
+        self.classes[class].arrivals += 1.0;
+        let work = spec.work.map_or(self.classes[class].run, |w| w as f64).max(1.0);
         let limits = &self.settings.classes[class];
         // Work is not known for sure; where a late answer still earns something, the job is given up earlier.
         let sure = work * (1.0 - limits.late_worth);
         let slack = span((limits.stretch - RUN_SPREAD).max(0.0) * sure);
         let start_by = (self.now + limits.aim + slack).min(expires);
         let answer_by = expires.saturating_sub(self.settings.tick.max(1_000));
-        let (came, attempts) = (self.now, vec![]);
-        self.jobs.insert(id, Job { spec, work, came, start_by, attempts, held: None, over: false });
+        let (came, (attempts, held, homes, over)) = (self.now, Default::default());
+        self.jobs.insert(id, Job { spec, work, came, start_by, attempts, held, homes, over });
         self.clock.timers.push(Reverse((answer_by, Timer::Answer(id))));
         self.hold(id, false);
         let probes = PROBE_SPEND / self.settings.limits.probe_price.max(1.0e-9);
         self.fleet.probe_credit = (self.fleet.probe_credit + probes).min(MOST_SCOUTS as f64);
     }
 
+    /// The open workers that are meant for the job's key.
+    fn homes(&self, spec: &JobSpec) -> Vec<WorkerId> {
+        let Some(key) = spec.key else { return vec![] };
+        let kind = self.settings.classes[spec.class].kind;
+        let fits = |w: &Worker| kind.is_none_or(|k| k == w.listing.kind);
+        let ready = self.fleet.ready.iter().filter_map(|id| self.workers.get_key_value(id));
+        let ready = ready.filter(|(_, w)| fits(w) && w.open(self.now, self.clock.grace));
+        let mut homes: Vec<_> = ready.map(|(id, w)| (Reverse(kin(key, w.listing.mark)), id)).collect();
+        homes.sort_unstable();
+        homes.into_iter().take(HOMES).map(|(_, id)| *id).collect()
+    }
+
     fn hold(&mut self, id: JobId, first: bool) {
+        let homes = self.jobs.get(&id).map_or(vec![], |j| self.homes(&j.spec));
         let Some(job) = self.jobs.get_mut(&id) else { return };
         let (class, slots) = (job.spec.class, job.spec.slots.clamp(1.0, 1.0e6).ceil() as u32);
         let lane = Lane { class, slots, late: self.now >= job.start_by };
-        job.held = Some(lane);
+        (job.held, job.homes) = (Some(lane), homes);
         self.clock.rescan_at = 0;
         self.clock.timers.push(Reverse((job.start_by.max(self.now + 1), Timer::Late(id))));
         let queue = self.held.entry(lane).or_default();
@@ -454,10 +456,9 @@
     }
 
     fn release(&mut self, id: JobId) {
-        if let Some(lane) = self.jobs.get_mut(&id).and_then(|j| j.held.take()) {
-            self.held.entry(lane).or_default().retain(|j| *j != id);
-            self.held.retain(|_, queue| !queue.is_empty());
-        }
+        let Some(lane) = self.jobs.get_mut(&id).and_then(|j| j.held.take()) else { return };
+        self.held.entry(lane).or_default().retain(|j| *j != id);
+        self.held.retain(|_, queue| !queue.is_empty());
     }
 
     /// The one place that answers: a refusal only where trying again is harmless.
@@ -466,10 +467,8 @@
         let idempotency = self.settings.classes[job.spec.class].idempotency;
         let repeats = matches!(idempotency, Idempotency::Safe | Idempotency::Keyed { scope: Scope::All, .. });
         let retry_after = self.settings.limits.retry_after.map(|most| most.min(span(self.mean_run())));
-        out.push(match repeats || job.exposed(&self.settings.rules).is_none() {
-            true => Action::Refuse { job: id, retry_after },
-            false => Action::Fail { job: id },
-        });
+        let harmless = repeats || job.exposed(&self.settings.rules).is_none();
+        out.push(if harmless { Action::Refuse { job: id, retry_after } } else { Action::Fail { job: id } });
         self.close(id, false, out);
     }
 
@@ -524,7 +523,7 @@
         let w = self.workers.get_mut(&worker)?;
         // A start notice may overtake an outcome: only runs under way for a while show slots.
         let starts = || w.outstanding.iter().filter_map(|o| Some((o.started?, o.slots)));
-        if starts().all(|(t, _)| self.now > t + self.grace) {
+        if starts().all(|(t, _)| self.now > t + self.clock.grace) {
             let kind = self.kinds.entry(w.listing.kind).or_default();
             kind.ran = starts().map(|(_, slots)| slots).sum::<f64>().max(kind.ran);
         }
@@ -555,9 +554,7 @@
 
     fn again(&mut self, id: JobId, out: &mut Vec<Action>) {
         let Some(job) = self.jobs.get(&id) else { return };
-        let class = &self.settings.classes[job.spec.class];
-        let late = self.now >= job.start_by && class.late_worth == 0.0;
-        if late || self.hopeless(job) || self.now >= job.spec.expires {
+        if self.hopeless(job) || self.now >= job.spec.expires {
             self.finish(id, out);
         } else {
             self.hold(id, true);
@@ -594,7 +591,7 @@
             _ if self.settings.start_notices => sent,
             Some(every) => sent + every + every / 4,
             None => sent + span(RUN_CAP * work),
-        } + self.grace;
+        } + self.clock.grace;
         w.outstanding.push(Outstanding { job: id, attempt, slots, work, sent, due, started: None });
         w.backoff.pushed(self.now);
         (w.cold_since, w.cold_wait) = (self.now, 1.0);
@@ -623,11 +620,9 @@
         let barred = self.spent(job) || job.in_flight() && !self.settings.limits.concurrent_attempts;
         let kind_ok = class.kind.is_none_or(|k| k == w.listing.kind);
         let over = job.over || barred || !kind_ok || self.now >= job.spec.expires;
-        if over || !w.ready() || !w.backoff.open(self.now) {
-            return false;
-        }
-        let fits = job.attempts.is_empty() || self.budget.fits(self.now, true);
-        fits && self.repeat_ok(job, Some(worker)) && self.cold_ok(job, w)
+        let open = !over && w.ready() && w.backoff.open(self.now);
+        let fits = || job.attempts.is_empty() || self.budget.fits(self.now, true);
+        open && fits() && self.repeat_ok(job, Some(worker)) && self.cold_ok(job, w)
     }
 
     /// What may have run is repeated only as its class allows; with no worker named: anywhere at all.
@@ -696,13 +691,9 @@
         let limits = &self.settings.limits;
         let mut steps = [limits.cross_zone_price, limits.connect_price];
         steps.sort_by(f64::total_cmp);
-        let worth_it = |price: &&f64| **price > 2.0 * SCOUTS as f64 * limits.probe_price;
-        match (scouted / SCOUTS, steps.iter().filter(worth_it).count()) {
-            (0, 1..) => 0.0,
-            (1, 2) => steps[0],
-            (2, 2) => steps[1],
-            _ => f64::INFINITY,
-        }
+        let worth = steps.iter().filter(|price| **price > 2.0 * SCOUTS as f64 * limits.probe_price).count();
+        let levels = &[0.0, steps[0], steps[1]][..worth + worth / 2];
+        levels.get(scouted / SCOUTS).copied().unwrap_or(f64::INFINITY)
     }
 
     fn price(&self, w: &Worker, idle: Micros) -> f64 {
@@ -792,15 +783,14 @@
     }
 
     fn on_probed(&mut self, worker: WorkerId, outcome: Outcome, report: Option<LoadReport>) {
+        self.fleet.scouts.retain(|(_, id)| *id != worker);
         let mean_run = self.mean_run();
-        if let Some(w) = self.workers.get_mut(&worker) {
-            w.probing = None;
-            // A connection that broke says as little of the worker as it does under a job.
-            if !matches!(outcome, Outcome::Done | Outcome::Reset) {
-                w.backoff.failure(self.now, mean_run, &mut self.rng);
-            }
+        let Some(w) = self.workers.get_mut(&worker) else { return };
+        w.probing = None;
+        // A connection that broke says as little of the worker as it does under a job.
+        if !matches!(outcome, Outcome::Done | Outcome::Reset) {
+            w.backoff.failure(self.now, mean_run, &mut self.rng);
         }
-        self.fleet.scouts.retain(|(_, id)| *id != worker);
         self.on_report(worker, report);
     }
 
@@ -828,15 +818,13 @@
     fn candidates(&self, ids: &[WorkerId]) -> Vec<Candidate> {
         let (fading, mean_others, idle) = (self.fading(), self.mean_others(), self.idle_span());
         let candidate = |id: &WorkerId| {
-            let open =
-                |w: &&Worker| w.ready() && w.backoff.open(self.now) && !w.blocked(self.now, self.grace);
-            let w = self.workers.get(id).filter(open)?;
+            let w = self.workers.get(id).filter(|w| w.open(self.now, self.clock.grace))?;
             let fresh = w.reported.map_or(0.0, &fading);
             let others = w.others * fresh + mean_others * (1.0 - fresh);
             let (room, pace) = (self.kind(w).slots() - w.own() - others, w.pace());
             let known = fresh + (1.0 - fresh) / f64::from(self.settings.dispatchers);
-            let found = Candidate { id: *id, room, pace, known, price: self.price(w, idle) };
-            (room >= 1.0 - ROOM_SLACK).then_some(found)
+            let price = self.price(w, idle);
+            (room >= 1.0 - ROOM_SLACK).then_some(Candidate { id: *id, room, pace, known, price })
         };
         ids.iter().filter_map(candidate).collect()
     }
@@ -845,7 +833,7 @@
         if self.held.is_empty() {
             return;
         }
-        self.fleet.scouts.retain(|(t, _)| self.now <= t + self.grace);
+        self.fleet.scouts.retain(|(t, _)| self.now <= t + self.clock.grace);
         let mut candidates = if self.now < self.clock.rescan_at {
             self.candidates(news.as_slice())
         } else {
@@ -885,11 +873,16 @@
         let whole = job.start_by.saturating_sub(job.came).max(1) as f64;
         let hurry = (HURRY * waited / whole).min(1.0);
         let need = (slots * (1.0 - hurry)).max(1.0) - ROOM_SLACK;
-        let weight = |c: &&Candidate| c.room * c.pace;
-        let mut open: Vec<_> = candidates.iter().filter(|c| c.room >= need).collect();
-        open.sort_by(|a, b| a.price.total_cmp(&b.price));
-        while let Some(cheapest) = open.first().map(|c| c.price) {
-            let alike = open.iter().take_while(|c| c.price <= cheapest).count();
+        let rank = |c: &Candidate| job.homes.iter().position(|h| *h == c.id).unwrap_or(job.homes.len());
+        let away = waited > AWAY * self.mean_run();
+        let weight = |c: &&Candidate| c.room * c.pace * KIN.powi(-(rank(c) as i32));
+        let mut open: Vec<_> =
+            candidates.iter().filter(|c| c.room >= need && (away || rank(c) < HOMES)).collect();
+        // To fetch what a job needs takes longer than any way to where it is kept.
+        let price = |c: &Candidate| if job.homes.is_empty() { c.price } else { 0.0 };
+        open.sort_by(|a, b| price(a).total_cmp(&price(b)));
+        while let Some(cheapest) = open.first().map(|c| price(c)) {
+            let alike = open.iter().take_while(|c| price(c) <= cheapest).count();
             let mut draw = unit(&mut self.rng) * open[..alike].iter().map(weight).sum::<f64>();
             let mut at = 0;
             while at + 1 < alike && draw >= weight(&open[at]) {
@@ -933,18 +926,32 @@
         }
     }
 
+    /// A late job brings too little beside what is held, or what goes before it would outlast its time.
+    fn given_up(&self, job: &Job) -> bool {
+        let Some(lane) = job.held.map(|l| Lane { late: true, ..l }) else { return false };
+        let gain = self.gain(&lane);
+        let best = self.held.keys().map(|l| self.gain(l)).fold(0.0, f64::max);
+        let before = self.held.iter().filter(|(l, _)| **l != lane && self.gain(l) >= gain);
+        let work = before.map(|(l, q)| f64::from(l.slots) * q.len() as f64 * self.classes[l.class].run);
+        let wait = work.sum::<f64>() / self.fleet.own.max(self.fleet.ready.len() as f64).max(1.0);
+        let done = self.now + span(wait + LAST * self.classes[lane.class].run);
+        gain == 0.0 || gain < best * self.fleet.price && wait > 0.0 || done > job.spec.expires
+    }
+
     /// A held job can't be in time any more: it moves behind the others, or ends if it is worth nothing now.
     fn on_late(&mut self, id: JobId, out: &mut Vec<Action>) {
         let Some(job) = self.jobs.get(&id).filter(|j| j.held.is_some()) else { return };
         let (hopeless, was_late) = (self.hopeless(job), job.held.is_some_and(|l| l.late));
-        let worthless = !was_late && self.settings.classes[job.spec.class].late_worth == 0.0;
         let pays = job.held.is_some_and(|l| self.gain(&l) >= self.fleet.best * self.fleet.price);
         if pays && !was_late && !hopeless {
             self.fleet.price = (self.fleet.price * PRICE_UP).clamp(PRICE_FLOOR, 0.5);
         }
-        if hopeless || worthless {
+        let again = self.now + (job.spec.expires.saturating_sub(self.now) / 4).max(1_000);
+        if hopeless || self.given_up(job) {
             self.finish(id, out);
-        } else if !was_late {
+        } else if was_late {
+            self.clock.timers.push(Reverse((again, Timer::Late(id))));
+        } else {
             self.release(id);
             self.hold(id, false);
         }
@@ -952,12 +959,10 @@
 
     /// A push has not started: a failure to the back-off; a job safe to repeat is called off and placed anew.
     fn on_overdue(&mut self, (id, attempt, worker): Leg, out: &mut Vec<Action>) {
-        let unstarted = |w: &Worker| Some(w.outstanding[w.find(id, attempt)?].started.is_none());
-        if self.workers.get(&worker).and_then(unstarted) != Some(true) {
-            return;
-        }
+        let waits = |o: &Outstanding| o.job == id && o.attempt == attempt && o.started.is_none();
+        let waits = self.workers.get(&worker).is_some_and(|w| w.outstanding.iter().any(waits));
         let (mean_run, sample) = (self.mean_run(), self.sample(SAMPLE / 2));
-        let Some(job) = self.jobs.get(&id).filter(|j| !j.over) else { return };
+        let Some(job) = self.jobs.get(&id).filter(|j| waits && !j.over) else { return };
         let idempotency = self.settings.classes[job.spec.class].idempotency;
         let mut elsewhere = self.candidates(&sample);
         elsewhere.retain(|c| c.id != worker && c.room >= job.spec.slots - ROOM_SLACK);
@@ -966,7 +971,8 @@
         if movable && !self.spent(job) && self.budget.fits(self.now, false) && self.settings.limits.cancel {
             out.push(Action::Cancel { job: id, attempt });
         } else if idempotency != Idempotency::Unsafe {
-            self.clock.timers.push(Reverse((self.now + self.grace, Timer::Overdue(id, attempt, worker))));
+            let at = self.now + self.clock.grace;
+            self.clock.timers.push(Reverse((at, Timer::Overdue(id, attempt, worker))));
         }
         // Where all are full it is no fault of this worker, but each must leave the others their turn.
         let turns = mean_run * INITIAL * f64::from(self.settings.dispatchers - 1);
--- a/src/net/state/targets.rs
+++ b/src/net/state/targets.rs
@@ -55,7 +55,8 @@
             }
             (target.addr, target.ready) = (entry.addr, ready);
             let Listed { zone, kind, cell, status, started, .. } = entry;
-            listings.push(Listing { worker, status, kind, zone, cell, started });
+            let mark = told::mark(&target.name);
+            listings.push(Listing { worker, mark, status, kind, zone, cell, started });
         }
         if kind != ListKind::Changes {
             let listed: BTreeSet<WorkerId> = listings.iter().map(|l| l.worker).collect();
--- a/src/net/wire/listener.rs
+++ b/src/net/wire/listener.rs
@@ -5,6 +5,7 @@
 use super::{seconds, Desk, Passed, Unclaimed};
 use crate::api::{JobId, JobSpec, Micros};
 use crate::net::state::{Answer, Input};
+use crate::told;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full};
 use hyper::body::{Body, Incoming};
@@ -328,6 +329,7 @@
             return Err(Refusal::TooLarge);
         }
         let (id, mut spec) = self.read(&head.headers, came)?;
+        spec.key = head.uri.query().and_then(key);
         if crowded {
             return Err(Refusal::Overload);
         }
@@ -408,7 +410,7 @@
         let longest = self.terms.give_up.get(class).copied().unwrap_or(Micros::MAX);
         let expires = came + micros(deadline).saturating_sub(TRAVEL).min(longest);
         let work = work.map(micros);
-        Ok((id.clone(), JobSpec { id: JobId(0), class, tenant, slots, expires, work }))
+        Ok((id.clone(), JobSpec { id: JobId(0), class, tenant, slots, expires, work, key: None }))
     }
 }
 
@@ -422,6 +424,12 @@
     }
 }
 
+/// What a request concerns, as a number: the same text gives the same number at every dispatcher.
+fn key(query: &str) -> Option<u64> {
+    let sid = query.split('&').find_map(|pair| pair.strip_prefix("sid="))?;
+    (!sid.is_empty()).then(|| u64::from(told::mark(sid)))
+}
+
 /// A figure that can be meant: a number, not negative, not beyond all bounds.
 fn figure(text: &str) -> Option<f64> {
     text.parse().ok().filter(|v: &f64| (0.0..=1.0e6).contains(v))
--- a/src/told.rs
+++ b/src/told.rs
@@ -10,6 +10,14 @@
     name.bytes().fold(0x811c_9dc5, |h: u32, b| (h ^ u32::from(b)).wrapping_mul(0x0100_0193))
 }
 
+/// How much a worker is meant for a key, in an order that is the same at every dispatcher. A worker that is lost
+/// leaves its keys to many others.
+pub fn kin(key: u64, mark: u32) -> u64 {
+    let mixed = (key ^ u64::from(mark).rotate_left(32)).wrapping_mul(0x9e37_79b9_7f4a_7c15);
+    let mixed = (mixed ^ (mixed >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    mixed ^ (mixed >> 29)
+}
+
 /// One entry as it is sent.
 pub fn entry(mark: u32, slots: u32) -> [u8; ENTRY_BYTES] {
     let [a, b, c, d] = mark.to_be_bytes();
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -80,6 +80,8 @@
     id: u64,
     #[serde(rename = "expires-ms")]
     expires: f64,
+    #[serde(rename = "route-key")]
+    key: Option<u64>,
     #[serde(rename = "cores-needed")]
     slots: Option<f64>,
     project: Option<usize>,
@@ -301,6 +303,7 @@
                 slots: m.slots.unwrap_or(1.0),
                 expires: micros(m.expires),
                 work: m.work.map(micros),
+                key: m.key,
             }))
         } else if let Some(m) = &message.datagram {
             Some(self.told(m))
@@ -325,6 +328,7 @@
             };
             let entries = m.entries.iter().flatten().map(|e| Listing {
                 worker: self.number(e.worker),
+                mark: mark(e.worker),
                 status: match e.status.as_str() {
                     "ready" => Status::Ready,
                     "gone" => Status::Gone,
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -74,6 +74,7 @@
 pub fn listing(worker: u32) -> Listing {
     Listing {
         worker: WorkerId(worker),
+        mark: worker,
         status: Status::Ready,
         kind: 0,
         zone: 0,
@@ -87,6 +88,7 @@
     pub now: Micros,
     pub expires_in: Micros,
     pub work: Option<Micros>,
+    pub key: Option<u64>,
 }
 
 impl Rig {
@@ -96,7 +98,7 @@
 
     pub fn seeded(settings: Settings, workers: u32, seed: u64) -> Self {
         let d = Dispatcher::new(settings, seed).expect("usable settings");
-        let mut rig = Rig { d, now: START, expires_in: 5_000 * MS, work: None };
+        let mut rig = Rig { d, now: START, expires_in: 5_000 * MS, work: None, key: None };
         rig.list(ListKind::Inherited, (0..workers).map(listing).collect());
         rig
     }
@@ -113,8 +115,8 @@
 
     pub fn job(&mut self, id: u64, class: usize, slots: f64) -> Vec<Action> {
         let expires = self.now + self.expires_in;
-        let work = self.work;
-        self.event(Event::Job(JobSpec { id: JobId(id), class, tenant: 0, slots, expires, work }))
+        let (work, key) = (self.work, self.key);
+        self.event(Event::Job(JobSpec { id: JobId(id), class, tenant: 0, slots, expires, work, key }))
     }
 
     pub fn started(&mut self, id: u64, attempt: u32, worker: WorkerId) -> Vec<Action> {
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -287,6 +287,62 @@
     assert!(rig.now >= start + 100 * MS, "after the initial interval");
 }
 
+/// Guards against workers that each fetch what every job needs: jobs with a key go to the few that are meant for
+/// it, the same ones at every dispatcher, and to others only when they have waited for those.
+#[test]
+fn jobs_of_a_key_go_where_the_key_is_kept_and_elsewhere_only_after_a_wait() {
+    let mut firsts = vec![];
+    for seed in 1..=3 {
+        let mut rig = Rig::seeded(settings(vec![safe()]), 8, seed);
+        let mut taken = BTreeMap::new();
+        for id in 0..200 {
+            rig.key = Some(77);
+            let worker = pushes(&rig.job(id, 0, 1.0))[0].1;
+            *taken.entry(worker).or_insert(0) += 1;
+            rig.started(id, 0, worker);
+            rig.ended(id, 0, worker, Outcome::Done);
+        }
+        let (first, most) = taken.iter().max_by_key(|(_, n)| **n).unwrap();
+        assert!(*most > 150 && taken.len() <= 3, "{taken:?}");
+        firsts.push(*first);
+        let mut sent = 0;
+        for id in 200..212 {
+            pushes(&rig.job(id, 0, 1.0)).iter().for_each(|(id, w)| {
+                sent += 1;
+                rig.started(*id, 0, *w);
+            });
+        }
+        assert_eq!(sent, 12, "four slots at each of its three workers");
+        assert!(pushes(&rig.job(300, 0, 1.0)).is_empty());
+        assert_eq!(wait_for_push(&mut rig, &[]).len(), 1, "the others have room");
+        rig.key = Some(78);
+        assert_eq!(pushes(&rig.job(301, 0, 1.0)).len(), 1);
+    }
+    assert!(firsts.iter().all(|f| *f == firsts[0]), "{firsts:?}");
+}
+
+/// Guards against refusals that are kept back until the deadline nears: who comes too late behind too much is told
+/// at once when to come again.
+#[test]
+fn a_job_that_is_given_up_is_refused_at_once_with_advice() {
+    let mut rig = Rig::new(settings(vec![safe()]), 1);
+    for id in 0..4 {
+        rig.job(id, 0, 1.0);
+        rig.started(id, 0, WorkerId(0));
+    }
+    let mut refused = vec![];
+    for id in 10..110 {
+        let actions = rig.job(id, 0, 1.0);
+        refused.extend(actions.into_iter().map(|a| (rig.now, a)));
+    }
+    while rig.now < START + 1_000 * MS {
+        let actions = rig.after(5 * MS);
+        refused.extend(actions.into_iter().map(|a| (rig.now, a)));
+    }
+    refused.retain(|(_, a)| matches!(a, Action::Refuse { retry_after: Some(_), .. }));
+    assert!((40..90).contains(&refused.len()), "{} of a hundred, long before five seconds", refused.len());
+}
+
 /// Guards against healthy workers that are left out because connections break: it says as little of them under a
 /// probe as under a job.
 #[test]
--- a/tests/reducer.rs
+++ b/tests/reducer.rs
@@ -50,7 +50,7 @@
     /// Takes a flow; the connection that is opened for it.
     fn flow(&mut self, id: u64) -> ConnId {
         let expires = self.now + 5_000 * MS;
-        let spec = JobSpec { id: JobId(id), class: 0, tenant: 0, slots: 1.0, expires, work: None };
+        let spec = JobSpec { id: JobId(id), class: 0, tenant: 0, slots: 1.0, expires, work: None, key: None };
         self.take(Input::Taken(spec));
         self.opened().expect("a connection is opened")
     }
@@ -79,7 +79,7 @@
     /// Serves a flow on the connection that it is given, which is free from then on; tells whether it is a new one.
     fn serve(&mut self, id: u64) -> (ConnId, bool) {
         let expires = self.now + 900 * MS;
-        let spec = JobSpec { id: JobId(id), class: 0, tenant: 0, slots: 1.0, expires, work: None };
+        let spec = JobSpec { id: JobId(id), class: 0, tenant: 0, slots: 1.0, expires, work: None, key: None };
         self.take(Input::Taken(spec));
         let (opened, sent) = (self.opened(), self.sent());
         if let Some(conn) = opened {
@@ -103,7 +103,7 @@
 fn a_held_flow_is_refused_before_its_deadline_whatever_else_happens() {
     let mut b = Bench::new(safe(), 0);
     let expires = b.now + 5_000 * MS;
-    let spec = JobSpec { id: JobId(1), class: 0, tenant: 0, slots: 1.0, expires, work: None };
+    let spec = JobSpec { id: JobId(1), class: 0, tenant: 0, slots: 1.0, expires, work: None, key: None };
     b.take(Input::Taken(spec));
     while b.answer().is_none() {
         b.now = b.state.wake_at().expect("a held flow always has a time at which it is looked at");
@@ -186,8 +186,15 @@
     b.done(conn);
     assert_eq!(b.answer(), Some(Answer::Served("r".into())));
     b.take(Input::Free(conn));
-    let spec =
-        JobSpec { id: JobId(2), class: 0, tenant: 0, slots: 1.0, expires: b.now + 900 * MS, work: None };
+    let spec = JobSpec {
+        id: JobId(2),
+        class: 0,
+        tenant: 0,
+        slots: 1.0,
+        expires: b.now + 900 * MS,
+        work: None,
+        key: None,
+    };
     b.take(Input::Taken(spec));
     assert_eq!((b.sent(), b.opened()), (Some(conn), None));
     b.done(conn);
@@ -204,7 +211,15 @@
     let (first, _) = b.serve(1);
     b.now += 200 * MS;
     let expires = b.now + 900 * MS;
-    b.take(Input::Taken(JobSpec { id: JobId(2), class: 0, tenant: 0, slots: 1.0, expires, work: None }));
+    b.take(Input::Taken(JobSpec {
+        id: JobId(2),
+        class: 0,
+        tenant: 0,
+        slots: 1.0,
+        expires,
+        work: None,
+        key: None,
+    }));
     assert_eq!(b.sent(), Some(first), "200 ms are nothing yet");
     b.take(Input::Closed { conn: first, unsent: false });
     let second = b.opened().expect("it is sent again, on a new one");
@@ -236,7 +251,7 @@
     let mut open = std::collections::BTreeSet::new();
     for id in 0..40 {
         let expires = b.now + 5_000 * MS;
-        let spec = JobSpec { id: JobId(id), class: 0, tenant: 0, slots: 1.0, expires, work: None };
+        let spec = JobSpec { id: JobId(id), class: 0, tenant: 0, slots: 1.0, expires, work: None, key: None };
         b.take(Input::Taken(spec));
         open.extend(b.opened());
         assert!(open.len() <= 10, "{open:?}");
