--- a/src/decide.rs
+++ b/src/decide.rs
@@ -787,9 +787,12 @@
         let mean_run = self.mean_run();
         let Some(w) = self.workers.get_mut(&worker) else { return };
         w.probing = None;
-        // A connection that broke says as little of the worker as it does under a job.
-        if !matches!(outcome, Outcome::Done | Outcome::Reset) {
-            w.backoff.failure(self.now, mean_run, &mut self.rng);
+        let free = report.and_then(|r| LoadReport::sound(r.free_slots)).is_some_and(|free| free >= 1.0);
+        match outcome {
+            // A rare pusher would not see a worker's recovery by its pushes.
+            Outcome::Done if free => w.backoff.success(mean_run, &mut self.rng),
+            Outcome::Done | Outcome::Reset => {} // broken off, it says as little of the worker as a job would
+            _ => w.backoff.failure(self.now, mean_run, &mut self.rng),
         }
         self.on_report(worker, report);
     }
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -343,6 +343,26 @@
     assert!((40..90).contains(&refused.len()), "{} of a hundred, long before five seconds", refused.len());
 }
 
+/// Guards against a worker that has come back and stays left out: few jobs are pushed to it while it is spaced, so
+/// that their starts alone took half a minute to close its back-off. Probes that show room count as well.
+#[test]
+fn probes_that_show_room_end_a_backoff_as_starts_do() {
+    for (free, sent) in [(4.0, true), (0.0, false)] {
+        let mut rig = Rig::new(many(1, Reports::Probes, 0.002), 1);
+        let worker = WorkerId(0);
+        for _ in 0..6 {
+            rig.event(Event::Probed { worker, outcome: Outcome::TimedOut, report: None });
+        }
+        let report = Some(LoadReport { free_slots: Some(free), ..LoadReport::default() });
+        for _ in 0..24 {
+            rig.event(Event::Probed { worker, outcome: Outcome::Done, report });
+        }
+        let taken = rig.job(1, 0, 1.0);
+        let taken = [taken, rig.event(Event::Probed { worker, outcome: Outcome::Done, report })].concat();
+        assert_eq!(!pushes(&taken).is_empty(), sent, "{free} slots free");
+    }
+}
+
 /// Guards against healthy workers that are left out because connections break: it says as little of them under a
 /// probe as under a job.
 #[test]
