Answer what comes after SIGTERM before the program may be killed; keep connections for 2 s

Cause: lifecycle/mod.rs closed idle connections 0.7 s after SIGTERM, and listener.rs let whatever came on others wait for its client's 5 to 6 s, longer than the platform leaves the process. Now connections stay for 2 s, and flows taken after SIGTERM expire 3.3 s after it. Ruled out: answers that don't say Connection: close. It would serve more of those requests, but the clients must hear of the stop.

--- a/src/net/lifecycle/mod.rs
+++ b/src/net/lifecycle/mod.rs
@@ -3,7 +3,7 @@
 pub mod clock;
 pub mod config;
 
-use crate::api::{ListKind, SettingsError};
+use crate::api::{ListKind, Micros, SettingsError};
 use crate::net::state::{Input, Setup, State};
 use crate::net::wire::discovery::{self, Places};
 use crate::net::wire::listener::{Listener, Phase, Terms};
@@ -21,8 +21,11 @@
 use tokio::task::{spawn_local, LocalSet};
 use tracing::{info, warn};
 
-/// How long after SIGTERM connections are still accepted: clients hear of it only then.
-const GRACE: Duration = Duration::from_millis(700);
+/// How long after SIGTERM connections are still accepted and kept: clients hear of it only then, and no other
+/// dispatcher may be there to turn to.
+const GRACE: Duration = Duration::from_millis(2_000);
+/// How long after SIGTERM what was taken since is answered at the latest: 3.7 s after it the program may be killed.
+const ANSWERED: Duration = Duration::from_millis(3_300);
 /// How often it is looked whether everything is answered.
 const LOOK: Duration = Duration::from_millis(10);
 
@@ -133,6 +136,7 @@
         _ = interrupt.recv() => {}
     }
     info!(flows = desk.open_flows(), "told to stop");
+    listener.answer_by(clock.now() + ANSWERED.as_micros() as Micros);
     phase.send_replace(Phase::Leaving);
     tokio::time::sleep(GRACE).await;
     phase.send_replace(Phase::Closing);
--- a/src/net/wire/listener.rs
+++ b/src/net/wire/listener.rs
@@ -14,6 +14,7 @@
 use hyper::service::{service_fn, HttpService};
 use hyper::{HeaderMap, Method, Request, Response, StatusCode};
 use hyper_util::rt::{TokioIo, TokioTimer};
+use std::cell::Cell;
 use std::convert::Infallible;
 use std::future::poll_fn;
 use std::rc::Rc;
@@ -81,6 +82,8 @@
     phase: watch::Receiver<Phase>,
     guards: Guards,
     closed: Notify,
+    /// What is taken must be answered by then: the platform ends a program that was told to stop.
+    ends: Cell<Micros>,
 }
 
 /// Why a request gets a fixed response and never reaches a target.
@@ -187,7 +190,19 @@
 impl Listener {
     /// A listener that is not accepting yet.
     pub fn new(desk: Rc<Desk>, terms: Terms, phase: watch::Receiver<Phase>) -> Rc<Self> {
-        Rc::new(Listener { desk, terms, phase, guards: Guards::default(), closed: Notify::new() })
+        Rc::new(Listener {
+            desk,
+            terms,
+            phase,
+            guards: Guards::default(),
+            closed: Notify::new(),
+            ends: Cell::new(Micros::MAX),
+        })
+    }
+
+    /// Whatever is taken from now on is answered by then at the latest.
+    pub fn answer_by(&self, ends: Micros) {
+        self.ends.set(ends);
     }
 
     /// Connections that are open.
@@ -330,6 +345,7 @@
         }
         let (id, mut spec) = self.read(&head.headers, came)?;
         spec.key = head.uri.query().and_then(key);
+        spec.expires = spec.expires.min(self.ends.get());
         if crowded {
             return Err(Refusal::Overload);
         }
--- a/tests/serve.rs
+++ b/tests/serve.rs
@@ -360,6 +360,25 @@
     assert!(program.child.wait().unwrap().success());
 }
 
+/// Guards against flows that are lost when the platform ends the program some seconds after SIGTERM: what comes on a
+/// connection that is still open is taken, but not for as long as its client would wait.
+#[test]
+fn after_sigterm_a_flow_is_given_up_before_the_program_may_be_killed() {
+    let target = peer(|m| Some(lines(m, &[STARTED]).replace("0\r\n\r\n", "")));
+    let (mut program, _calls) = with_target(&target);
+    let mut kept = program.connect();
+    kept.get_mut().write_all(b"GET /ready HTTP/1.1\r\nHost: h\r\n\r\n").unwrap();
+    assert_eq!(read(&mut kept).unwrap().status(), "200");
+    program.signal("TERM");
+    program.wait_for("told to stop");
+    kept.get_mut().write_all(job("settle").as_bytes()).unwrap();
+    // Its deadline is fifty seconds, and so long the program would wait.
+    kept.get_mut().set_read_timeout(Some(std::time::Duration::from_secs(25))).unwrap();
+    let answer = read(&mut kept).expect("an answer");
+    assert_eq!((answer.status(), answer.header("connection")), ("502", Some("close")));
+    assert!(program.child.wait().unwrap().success());
+}
+
 /// Guards against an accept loop that ends when the system has no descriptor left.
 #[test]
 fn out_of_descriptors_the_program_goes_on_once_some_are_free() {
