--- a/crates/api/src/lib.rs
+++ b/crates/api/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod told;
 
 use std::fmt;
+use std::sync::Arc;
 
 /// A time or a span, in whole microseconds. Times count from any fixed origin.
 pub type Micros = u64;
@@ -472,6 +473,8 @@
         /// Slots held or waited for, by worker; what is not named has not changed.
         held: Vec<(WorkerId, u32)>,
     },
+    /// A level of reduced service is in force from now on; none: full service.
+    Terms(Option<Arc<Terms>>),
     /// A time asked for with [`Action::WakeAt`] has come.
     Wake,
 }
@@ -488,6 +491,89 @@
     }
 }
 
+/// What a level of reduced service does with the jobs of one class. What is turned away is refused at once.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct ClassTerms {
+    /// Share of its new jobs that is taken, 0 to 1.
+    pub admit: f64,
+    /// Most slots that a job may take.
+    pub largest: f64,
+    /// Attempts for one job, the first included; those that the site allows bound it besides.
+    pub attempts: u32,
+    /// A job that has not been sent for so long is turned away, if it has not been sent before.
+    pub hold: Option<Micros>,
+    /// Slots that a job leaves free beside its own at the worker that it is sent to.
+    pub headroom: f64,
+}
+
+impl Default for ClassTerms {
+    /// Full service.
+    fn default() -> Self {
+        ClassTerms { admit: 1.0, largest: f64::INFINITY, attempts: u32::MAX, hold: None, headroom: 0.0 }
+    }
+}
+
+/// What a level of reduced service does.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Terms {
+    /// By class; a class that is not named has full service.
+    pub classes: Vec<ClassTerms>,
+    /// Jobs that may be open together.
+    pub open: usize,
+    /// Advice to those turned away, before it is spread; bounded by the longest that clients keep to.
+    pub retry_after: Micros,
+}
+
+impl Terms {
+    /// What holds for a class.
+    pub fn class(&self, class: usize) -> ClassTerms {
+        self.classes.get(class).copied().unwrap_or_default()
+    }
+}
+
+/// What the decisions believe of one kind of worker.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct KindFigures {
+    /// The kind.
+    pub kind: u32,
+    /// Slots of a warm worker of this kind.
+    pub slots: f64,
+    /// Ready workers that answer; one that is still cold counts by the share of its capacity.
+    pub answering: f64,
+    /// Ready workers that have gone silent with work or a probe out, or can't be connected to.
+    pub silent: f64,
+}
+
+/// What came of the jobs of one class, counted since the start.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct ClassFigures {
+    /// Jobs that are over, without those that a level turned away when they came.
+    pub over: u64,
+    /// ... and of these, served in time.
+    pub in_time: u64,
+    /// Jobs that a level turned away.
+    pub turned_away: u64,
+}
+
+/// What the decisions can tell of the service, for those who watch over it.
+#[derive(Debug, Clone, Default, PartialEq)]
+pub struct Figures {
+    /// By kind of worker.
+    pub kinds: Vec<KindFigures>,
+    /// By class.
+    pub classes: Vec<ClassFigures>,
+    /// Work that is held, in slots times microseconds at the mean run of its class.
+    pub held: f64,
+    /// Slots that own jobs hold at workers.
+    pub own: f64,
+    /// Jobs that are open.
+    pub open: usize,
+    /// Attempts sent since the start.
+    pub sent: u64,
+    /// ... and of these, turned away by their workers.
+    pub refused: u64,
+}
+
 /// What a dispatcher does.
 #[derive(Debug, Clone, PartialEq)]
 pub enum Action {
--- /dev/null
+++ b/crates/decide/src/figures.rs
@@ -0,0 +1,92 @@
+//! What is believed and counted, for those who watch over the service. Nothing is decided here.
+
+use super::{Dispatcher, Worker, RUN_CAP};
+use api::*;
+use std::collections::BTreeMap;
+
+/// Progress notes missed in a row, or capped runs where there are none, after which a worker is silent.
+const SILENT: f64 = 1.5;
+/// Connections in a row that failed, or probes without an answer: such a worker is silent, too.
+const UNREACHED: u32 = 2;
+
+/// What a worker owes a word on.
+#[derive(Debug, Default)]
+pub(super) struct Quiet {
+    /// Since when it owes one on some job; any word on any job will do.
+    pub since: Option<Micros>,
+    /// Connections to it, or probes, that failed in a row.
+    unreached: u32,
+}
+
+impl Worker {
+    /// It takes work and says nothing, or can't be reached, though its list calls it ready.
+    fn silent(&self, now: Micros, patience: Micros) -> bool {
+        self.quiet.unreached >= UNREACHED || self.quiet.since.is_some_and(|t| now > t + patience)
+    }
+
+    /// It has said something; jobs that are out there still may be due another word.
+    pub(super) fn heard(&mut self, now: Micros) {
+        let since = (!self.outstanding.is_empty()).then_some(now);
+        self.quiet = Quiet { since, unreached: 0 };
+    }
+
+    /// An attempt there is over. One that was called off, or that nobody waited for any longer, is no word: a
+    /// worker that was silent with it stays so, and one that had not been asked for long owes nothing more.
+    pub(super) fn heed(&mut self, outcome: Outcome, now: Micros, patience: Micros) {
+        match outcome {
+            Outcome::Done | Outcome::Error | Outcome::Full => return self.heard(now),
+            Outcome::ConnectFailed => self.quiet.unreached += 1,
+            _ => {}
+        }
+        if self.outstanding.is_empty() && !self.silent(now, patience) {
+            self.quiet.since = None;
+        }
+    }
+
+    /// A probe is over.
+    pub(super) fn heed_probe(&mut self, outcome: Outcome, now: Micros) {
+        match outcome {
+            Outcome::Done | Outcome::Error | Outcome::Full => self.heard(now),
+            Outcome::ConnectFailed | Outcome::TimedOut => self.quiet.unreached += 1,
+            _ => {}
+        }
+    }
+}
+
+impl Dispatcher {
+    /// How long a worker may owe a word before it counts as silent.
+    pub(super) fn patience(&self) -> Micros {
+        let (times, each) = match self.settings.progress_every {
+            Some(every) => (SILENT, every as f64),
+            None => (RUN_CAP, self.mean_run()),
+        };
+        super::span(times * each) + self.clock.grace
+    }
+
+    /// What is believed and counted, for those who watch over the service.
+    pub fn figures(&self) -> Figures {
+        let patience = self.patience();
+        let mut kinds: BTreeMap<u32, KindFigures> = BTreeMap::new();
+        for w in self.fleet.ready.iter().filter_map(|id| self.workers.get(id)) {
+            let (kind, slots) = (w.listing.kind, self.kind(w).slots());
+            let at = kinds.entry(kind).or_insert(KindFigures { kind, slots, answering: 0.0, silent: 0.0 });
+            match w.silent(self.now, patience) {
+                true => at.silent += 1.0,
+                false => at.answering += self.warmth(w),
+            }
+        }
+        let held = self.held.iter();
+        let held = held.map(|(l, q)| f64::from(l.slots) * q.len() as f64 * self.classes[l.class].run).sum();
+        let ((sent, refused), own) = (self.fleet.sent, self.fleet.own);
+        let classes = self.classes.iter().map(|t| t.counts).collect();
+        Figures {
+            kinds: kinds.into_values().collect(),
+            classes,
+            held,
+            own,
+            open: self.jobs.len(),
+            sent,
+            refused,
+        }
+    }
+}
--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -2,12 +2,17 @@
 //! One `Backoff` a worker spaces the pushes to it. A job goes to a random open worker, weighted by room; with
 //! none open it is held. Only `push` sends and only `finish` answers: the rules are kept there.
 
+mod figures;
+mod terms;
+
 use api::told::kin;
 use api::*;
+use figures::Quiet;
 use rand_pcg::rand_core::{RngCore, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet, BinaryHeap, VecDeque};
+use std::sync::Arc;
 
 // The back-off as in the paper; spans are multiples of the mean run of a job.
 const UP: f64 = 2.0;
@@ -130,6 +135,7 @@
     probing: Option<Micros>,
     used: Option<Micros>, // last sent to or heard of, since its connections were last given back
     errors: u32,
+    quiet: Quiet,
     cold_since: Micros, // when it was last sent to, or its start was told
     cold_wait: f64,     // the share of a gap that a cold worker is left from then
 }
@@ -257,12 +263,15 @@
     arrivals: f64,
     asked: f64,
     in_time: f64,
+    credit: f64, // of the share that the level in force admits
+    counts: ClassFigures,
 }
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 enum Timer {
     Answer(JobId),
     Late(JobId),
+    Unplaced(JobId),
     Overdue(JobId, u32, WorkerId),
     Rewatch,
 }
@@ -284,11 +293,13 @@
     heard: VecDeque<WorkerId>,            // those with the latest reports, the newest first
     scouts: VecDeque<(Micros, WorkerId)>, // probes out, the oldest first
     own: f64,
+    sent: (u64, u64),           // attempts, and those turned away
     others: (f64, f64, Micros), // what others hold: fading sum and weight of reports, and when added to
     tell_credit: f64,
     probe_credit: f64,
-    best: f64,  // gain of the best lane
-    price: f64, // share of it that a job must bring for its slot time
+    best: f64,                 // gain of the best lane
+    price: f64,                // share of it that a job must bring for its slot time
+    terms: Option<Arc<Terms>>, // of the level of reduced service in force
 }
 
 #[derive(Debug, Default)]
@@ -358,6 +369,7 @@
             }
             Event::Probed { worker, outcome, report } => self.on_probed(worker, outcome, report),
             Event::Told { from, held } => self.on_told(from, &held),
+            Event::Terms(terms) => self.on_terms(terms, out),
             Event::Wake => {}
         }
         news.into_iter().for_each(|w| self.hang_up(w, out));
@@ -376,7 +388,7 @@
             let worker = self.workers.entry(entry.worker).or_default();
             let started = entry.started.map(|t| t.min(self.now)).max(worker.listing.started);
             if started > worker.listing.started {
-                worker.backoff = Backoff::default();
+                (worker.backoff, worker.quiet) = Default::default();
                 (worker.others, worker.reported) = (0.0, None);
                 // All dispatchers hear of it about now: each comes in at a time of its own.
                 (worker.cold_since, worker.cold_wait) = (self.now, unit(&mut self.rng));
@@ -410,6 +422,9 @@
         if spec.class >= self.settings.classes.len() || self.jobs.contains_key(&spec.id) {
             return out.push(Action::Fail { job: spec.id });
         }
+        if self.turns_away(&spec) {
+            return out.push(Action::Refuse { job: spec.id, retry_after: self.retry_after() });
+        }
         self.budget.take(self.now);
         let (id, class, expires) = (spec.id, spec.class, spec.expires);
         self.fleet.best -= self.fleet.best / TALLY;
@@ -427,6 +442,7 @@
         self.jobs.insert(id, Job { spec, work, came, start_by, attempts, held, homes, over });
         self.clock.timers.push(Reverse((answer_by, Timer::Answer(id))));
         self.hold(id, false);
+        self.bound_hold(id, class);
         let probes = PROBE_SPEND / self.settings.limits.probe_price.max(1.0e-9);
         self.fleet.probe_credit = (self.fleet.probe_credit + probes).min(MOST_SCOUTS as f64);
     }
@@ -463,10 +479,10 @@
 
     /// The one place that answers: a refusal only where trying again is harmless.
     fn finish(&mut self, id: JobId, out: &mut Vec<Action>) {
+        let retry_after = self.retry_after();
         let Some(job) = self.jobs.get(&id).filter(|j| !j.over) else { return };
         let idempotency = self.settings.classes[job.spec.class].idempotency;
         let repeats = matches!(idempotency, Idempotency::Safe | Idempotency::Keyed { scope: Scope::All, .. });
-        let retry_after = self.settings.limits.retry_after.map(|most| most.min(span(self.mean_run())));
         let harmless = repeats || job.exposed(&self.settings.rules).is_none();
         out.push(if harmless { Action::Refuse { job: id, retry_after } } else { Action::Fail { job: id } });
         self.close(id, false, out);
@@ -478,6 +494,8 @@
         job.over = true;
         let tally = &mut self.classes[job.spec.class];
         tally.asked += 1.0;
+        tally.counts.over += 1;
+        tally.counts.in_time += u64::from(in_time);
         tally.in_time += f64::from(u8::from(in_time));
         self.fleet.price *= if in_time { PRICE_DOWN } else { 1.0 };
         let out_still = (0..).zip(&job.attempts).filter(|(_, a)| a.outcome.is_none());
@@ -491,6 +509,7 @@
     fn on_started(&mut self, id: JobId, attempt: u32, worker: WorkerId) {
         let mean_run = self.mean_run();
         let Some(w) = self.workers.get_mut(&worker) else { return };
+        w.heard(self.now);
         let Some(at) = w.find(id, attempt).filter(|at| w.outstanding[*at].started.is_none()) else { return };
         w.outstanding[at].started = Some(self.now);
         if w.errors < ERRORS && self.settings.start_notices {
@@ -519,7 +538,7 @@
     }
 
     fn settle_worker(&mut self, (id, attempt, worker): Leg, outcome: Outcome) -> Option<f64> {
-        let mean_run = self.mean_run();
+        let (mean_run, patience) = (self.mean_run(), self.patience());
         let w = self.workers.get_mut(&worker)?;
         // A start notice may overtake an outcome: only runs under way for a while show slots.
         let starts = || w.outstanding.iter().filter_map(|o| Some((o.started?, o.slots)));
@@ -532,6 +551,8 @@
         w.told_at = None;
         let errors = w.errors.min(ERRORS) + u32::from(outcome == Outcome::Error);
         w.errors = if outcome == Outcome::Done { 0 } else { errors };
+        w.heed(outcome, self.now, patience);
+        self.fleet.sent.1 += u64::from(matches!(outcome, Outcome::Full | Outcome::ConnectFailed));
         match outcome {
             Outcome::Full | Outcome::ConnectFailed => w.backoff.failure(self.now, mean_run, &mut self.rng),
             // A worker that fails jobs at once always has room and would draw all traffic.
@@ -562,7 +583,8 @@
     }
 
     fn spent(&self, job: &Job) -> bool {
-        job.attempts.len() >= self.settings.limits.attempts as usize
+        let most = self.fleet.terms.as_ref().map_or(u32::MAX, |t| t.class(job.spec.class).attempts);
+        job.attempts.len() >= self.settings.limits.attempts.min(most) as usize
     }
 
     /// No further attempt will be had: it is answered at once, not held for nothing.
@@ -586,6 +608,8 @@
         let (slots, work, sent) = (job.spec.slots, job.work, self.now);
         self.budget.spent.extend(self.budget.rule.filter(|_| attempt > 0).map(|_| self.now));
         job.attempts.push(Attempt { worker, sent, outcome: None });
+        w.quiet.since.get_or_insert(self.now);
+        self.fleet.sent.0 += 1;
         w.used = Some(self.now);
         let due = match self.settings.progress_every {
             _ if self.settings.start_notices => sent,
@@ -639,19 +663,24 @@
         }
     }
 
-    /// A cold worker is spaced by this dispatcher's part of what it stands: all together don't push it over.
-    fn cold_ok(&self, job: &Job, w: &Worker) -> bool {
-        let Some(started) = w.listing.started else { return true };
+    /// The share of its capacity that a worker has for certain.
+    fn warmth(&self, w: &Worker) -> f64 {
+        let Some(started) = w.listing.started else { return 1.0 };
         let (rules, age) = (&self.settings.rules, self.now.saturating_sub(started));
         let warm = (age as f64 / rules.cold_for.max(1) as f64).min(1.0);
-        let share = rules.start_capacity + (1.0 - rules.start_capacity) * warm;
+        (rules.start_capacity + (1.0 - rules.start_capacity) * warm).clamp(warm, 1.0)
+    }
+
+    /// A cold worker is spaced by this dispatcher's part of what it stands: all together don't push it over.
+    fn cold_ok(&self, job: &Job, w: &Worker) -> bool {
+        let (rules, share) = (&self.settings.rules, self.warmth(w));
         let (kind, told) = (self.kind(w), self.settings.reports != Reports::None);
         let shown = if told { kind.most.max(kind.ran).clamp(1.0, kind.slots()) } else { kind.slots() };
         let (work, capacity) = (job.spec.slots * job.work, shown * share);
         let tips = rules.tip_multiple * capacity;
         let gap = work * f64::from(self.settings.dispatchers) / (COLD_SAFETY * tips).max(1.0e-9);
         let waited = self.now.saturating_sub(w.cold_since) as f64;
-        warm >= 1.0 || work <= COLD_JOB * tips * rules.tip_window as f64 && waited >= w.cold_wait * gap
+        share >= 1.0 || work <= COLD_JOB * tips * rules.tip_window as f64 && waited >= w.cold_wait * gap
     }
 
     fn on_report(&mut self, worker: WorkerId, report: Option<LoadReport>) {
@@ -787,6 +816,7 @@
         let mean_run = self.mean_run();
         let Some(w) = self.workers.get_mut(&worker) else { return };
         w.probing = None;
+        w.heed_probe(outcome, self.now);
         let free = report.and_then(|r| LoadReport::sound(r.free_slots)).is_some_and(|free| free >= 1.0);
         match outcome {
             // A rare pusher would not see a worker's recovery by its pushes.
@@ -875,7 +905,8 @@
         let waited = self.now.saturating_sub(job.came) as f64;
         let whole = job.start_by.saturating_sub(job.came).max(1) as f64;
         let hurry = (HURRY * waited / whole).min(1.0);
-        let need = (slots * (1.0 - hurry)).max(1.0) - ROOM_SLACK;
+        let headroom = self.fleet.terms.as_ref().map_or(0.0, |t| t.class(job.spec.class).headroom);
+        let need = (slots * (1.0 - hurry)).max(1.0) - ROOM_SLACK + headroom;
         let rank = |c: &Candidate| job.homes.iter().position(|h| *h == c.id).unwrap_or(job.homes.len());
         let away = waited > AWAY * self.mean_run();
         let weight = |c: &&Candidate| c.room * c.pace * KIN.powi(-(rank(c) as i32));
@@ -923,6 +954,7 @@
             match timer {
                 Timer::Answer(id) => self.finish(id, out),
                 Timer::Late(id) => self.on_late(id, out),
+                Timer::Unplaced(id) => self.on_unplaced(id, out),
                 Timer::Overdue(id, attempt, worker) => self.on_overdue((id, attempt, worker), out),
                 Timer::Rewatch => out.push(Action::Watch),
             }
--- /dev/null
+++ b/crates/decide/src/terms.rs
@@ -0,0 +1,67 @@
+//! What a level of reduced service asks: which jobs are turned away, and for how long others wait for a place.
+
+use super::{span, unit, Dispatcher, Timer};
+use api::*;
+use std::cmp::Reverse;
+use std::sync::Arc;
+
+impl Dispatcher {
+    /// Jobs that are held are treated as if they came now, but for those that may have run: theirs is another rule.
+    pub(super) fn on_terms(&mut self, terms: Option<Arc<Terms>>, out: &mut Vec<Action>) {
+        self.fleet.terms = terms;
+        let jobs = self.held.values().flatten().filter_map(|id| self.jobs.get(id));
+        let unrun = jobs.filter(|j| j.exposed(&self.settings.rules).is_none());
+        for spec in unrun.map(|j| j.spec.clone()).collect::<Vec<_>>() {
+            match self.turns_away(&spec) {
+                true => self.turn_away(spec.id, spec.class, out),
+                false => self.bound_hold(spec.id, spec.class),
+            }
+        }
+    }
+
+    /// The level in force does not take it.
+    pub(super) fn turns_away(&mut self, spec: &JobSpec) -> bool {
+        let Some(terms) = self.fleet.terms.as_ref() else { return false };
+        let (class, tally) = (terms.class(spec.class), &mut self.classes[spec.class]);
+        tally.credit = (tally.credit + class.admit).min(1.0);
+        let taken = tally.credit >= 1.0 && spec.slots <= class.largest && self.jobs.len() <= terms.open;
+        tally.credit -= f64::from(u8::from(taken));
+        tally.counts.turned_away += u64::from(!taken);
+        !taken
+    }
+
+    /// Ends a job that was held as if it had not been taken: a class is not served worse for it.
+    fn turn_away(&mut self, id: JobId, class: usize, out: &mut Vec<Action>) {
+        let tally = &mut self.classes[class];
+        (tally.asked, tally.counts.over) = (tally.asked - 1.0, tally.counts.over.wrapping_sub(1));
+        self.finish(id, out);
+    }
+
+    pub(super) fn bound_hold(&mut self, id: JobId, class: usize) {
+        if let Some(hold) = self.fleet.terms.as_ref().and_then(|t| t.class(class).hold) {
+            self.clock.timers.push(Reverse((self.now + hold.max(1), Timer::Unplaced(id))));
+        }
+    }
+
+    /// The level in force has it wait for a place no longer, unless it was sent before.
+    pub(super) fn on_unplaced(&mut self, id: JobId, out: &mut Vec<Action>) {
+        let Some(job) = self.jobs.get(&id).filter(|j| j.held.is_some() && j.attempts.is_empty()) else {
+            return;
+        };
+        let class = job.spec.class;
+        let hold = self.fleet.terms.as_ref().and_then(|t| t.class(class).hold);
+        if hold.is_some_and(|hold| self.now >= job.came + hold) {
+            self.classes[class].counts.turned_away += 1;
+            self.turn_away(id, class, out);
+        }
+    }
+
+    /// Advice when to come again; under a level it is spread, so that not all come back together.
+    pub(super) fn retry_after(&mut self) -> Option<Micros> {
+        let wait = match self.fleet.terms.as_ref().map(|t| t.retry_after as f64) {
+            Some(wait) => wait * (0.5 + unit(&mut self.rng)),
+            None => self.mean_run(),
+        };
+        self.settings.limits.retry_after.map(|most| most.min(span(wait)))
+    }
+}
--- a/crates/desk/src/lib.rs
+++ b/crates/desk/src/lib.rs
@@ -7,6 +7,8 @@
 
 use api::{JobId, JobSpec, Micros};
 use bytes::Bytes;
+use levels::Status;
+use metrics::{counter, Counter};
 use settings::report::ReportNames;
 use state::{reduce, Answer, ConnId, Effect, Input, State};
 use std::cell::{Cell, RefCell};
@@ -92,9 +94,39 @@
     fn tell(&self, message: &[u8]);
 }
 
+/// Questions about the state that may wait together.
+const QUESTIONS: usize = 16;
+
+/// What is reported to the desk, for the loop.
+pub struct Reports {
+    inputs: mpsc::UnboundedReceiver<Input>,
+    questions: mpsc::Receiver<oneshot::Sender<Status>>,
+}
+
+/// Final answers, by what they were.
+struct Answers {
+    served: Counter,
+    refused: Counter,
+    failed: Counter,
+    unusable: Counter,
+}
+
+impl Answers {
+    fn count(&self, answer: &Answer) {
+        match answer {
+            Answer::Served(_) => self.served.increment(1),
+            Answer::Refused { .. } => self.refused.increment(1),
+            Answer::Failed => self.failed.increment(1),
+            Answer::Unusable => self.unusable.increment(1),
+        }
+    }
+}
+
 /// What the protocols share: where inputs go, and the flows that wait.
 pub struct Desk {
     inputs: mpsc::UnboundedSender<Input>,
+    questions: mpsc::Sender<oneshot::Sender<Status>>,
+    answers: Answers,
     clock: Clock,
     names: ReportNames,
     bounds: Bounds,
@@ -105,15 +137,20 @@
 }
 
 impl Desk {
-    /// A desk, and the inputs that are reported to it.
-    pub fn new(
-        clock: Clock,
-        names: ReportNames,
-        bounds: Bounds,
-    ) -> (Rc<Self>, mpsc::UnboundedReceiver<Input>) {
+    /// A desk, and what is reported to it. What counts its answers must have been set up before.
+    pub fn new(clock: Clock, names: ReportNames, bounds: Bounds) -> (Rc<Self>, Reports) {
         let (inputs, receiver) = mpsc::unbounded_channel();
+        let (questions, asked) = mpsc::channel(QUESTIONS);
+        let answer = |kind: &'static str| counter!("fordrelay_answers_total", "answer" => kind);
+        let answers = Answers {
+            served: answer("served"),
+            refused: answer("refused"),
+            failed: answer("failed"),
+            unusable: answer("unusable"),
+        };
         let (ids, claimed, waiting, flows) = Default::default();
-        (Rc::new(Desk { inputs, clock, names, bounds, ids, claimed, waiting, flows }), receiver)
+        let desk = Desk { inputs, questions, answers, clock, names, bounds, ids, claimed, waiting, flows };
+        (Rc::new(desk), Reports { inputs: receiver, questions: asked })
     }
 
     /// Claims the id and the memory of a flow, before its body is read.
@@ -144,6 +181,18 @@
         self.clock
     }
 
+    /// What the state looks like once all that was reported before is taken in; none if too many ask at once.
+    pub async fn status(&self) -> Option<Status> {
+        let (answer, status) = oneshot::channel();
+        self.questions.try_send(answer).ok()?;
+        status.await.ok()
+    }
+
+    /// What may be open together.
+    pub fn bounds(&self) -> Bounds {
+        self.bounds
+    }
+
     /// How load reports are read.
     pub fn names(&self) -> &ReportNames {
         &self.names
@@ -209,22 +258,21 @@
 }
 
 /// Feeds the reducer and carries out what it asks for; ends when no task can report any more.
-pub async fn run(
-    mut state: State,
-    desk: Rc<Desk>,
-    mut inputs: mpsc::UnboundedReceiver<Input>,
-    outlets: impl Outlets,
-) {
+pub async fn run(mut state: State, desk: Rc<Desk>, mut reports: Reports, outlets: impl Outlets) {
     let mut conns: HashMap<ConnId, mpsc::UnboundedSender<Order>> = HashMap::new();
     loop {
         let now = desk.clock.now();
         let wait = state.wake_at().map(|at| Duration::from_micros(at.saturating_sub(now)));
         let input = tokio::select! {
             biased;
-            input = inputs.recv() => match input {
+            input = reports.inputs.recv() => match input {
                 Some(input) => input,
                 None => return,
             },
+            Some(answer) = reports.questions.recv() => {
+                let _ = answer.send(state.status());
+                continue;
+            }
             () = tokio::time::sleep(wait.unwrap_or_default()), if wait.is_some() => Input::Tick,
         };
         if let Input::Closed { conn, .. } = &input {
@@ -253,6 +301,7 @@
                 Effect::Answer { flow, answer } => {
                     // A client that has just gone needs none.
                     if let Some(client) = desk.close(flow) {
+                        desk.answers.count(&answer);
                         let _ = client.send(answer);
                     }
                 }
--- /dev/null
+++ b/crates/fordrelay/src/commands.rs
@@ -0,0 +1,109 @@
+//! What the command line does beside serving.
+
+use crate::lifecycle::{Files, Told};
+use admin::view::Levels;
+use hyper::Method;
+use serde::Serialize;
+use settings::operator::Operator;
+use settings::platform::Summary;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+type Outcome = Result<(), Box<dyn std::error::Error>>;
+
+/// How often a watch asks.
+const WATCH_EVERY: Duration = Duration::from_millis(500);
+
+/// What `levels` is asked for.
+#[derive(Debug, Clone)]
+pub enum LevelsArgs {
+    /// What is in force, and why.
+    Show {
+        /// Whom to ask.
+        admin: SocketAddr,
+        /// Go on.
+        watch: bool,
+        /// As JSON.
+        json: bool,
+    },
+    /// The conditions in words.
+    Explain(Files),
+    /// Have a level in force.
+    Force(Force),
+}
+
+/// A level that is asked for.
+#[derive(Debug, Clone)]
+pub struct Force {
+    /// Whom to ask.
+    pub admin: SocketAddr,
+    /// For how long.
+    pub span: Duration,
+    /// Its name.
+    pub wanted: String,
+}
+
+/// What is in force by both files.
+#[derive(Serialize)]
+struct InForce<'a> {
+    platform: Summary<'a>,
+    operator: &'a Operator,
+}
+
+/// Prints what both files come to.
+pub fn check(files: &Files, json: bool) -> Outcome {
+    let Told { config, operator, .. } = files.load()?;
+    let in_force = InForce { platform: config.summary(), operator: &operator };
+    if json {
+        println!("{}", serde_json::to_string_pretty(&in_force)?);
+    } else {
+        print!("# the platform's configuration\n{}", hcl::to_string(&in_force.platform)?);
+        print!("\n# the operators' file, defaults included\n{}", hcl::to_string(in_force.operator)?);
+    }
+    Ok(())
+}
+
+/// Shows, explains or forces levels.
+pub fn levels(args: LevelsArgs) -> Outcome {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+    match args {
+        LevelsArgs::Explain(files) => match files.load()? {
+            Told { config, levels: Some(levels), .. } => print!("{}", levels.explain(&config.classes)),
+            _ => println!("no levels are set; see the block levels of the operators' file"),
+        },
+        LevelsArgs::Show { admin, watch, json } => runtime.block_on(show(admin, watch, json))?,
+        LevelsArgs::Force(Force { admin, span, wanted }) => {
+            let path = format!("/levels/force?level={wanted}&for_ms={}", span.as_millis());
+            // What is no part of a query is no name either.
+            let text = runtime.block_on(admin::ask(admin, Method::POST, &path))?;
+            print!("{}", serde_json::from_str::<Levels>(&text)?);
+        }
+    }
+    Ok(())
+}
+
+async fn show(admin: SocketAddr, watch: bool, json: bool) -> Outcome {
+    let mut last: Option<Levels> = None;
+    loop {
+        let text = admin::ask(admin, Method::GET, "/levels").await?;
+        let levels: Levels = serde_json::from_str(&text)?;
+        match &last {
+            None if json => print!("{text}"),
+            None => print!("{levels}"),
+            Some(last) => {
+                let new = |c: &&admin::view::Changed| !last.changes.contains(c);
+                for change in levels.changes.iter().filter(new).collect::<Vec<_>>().into_iter().rev() {
+                    match json {
+                        true => println!("{}", serde_json::to_string(change)?),
+                        false => println!("{} ms: {change}", change.at_ms),
+                    }
+                }
+            }
+        }
+        if !watch {
+            return Ok(());
+        }
+        last = Some(levels);
+        tokio::time::sleep(WATCH_EVERY).await;
+    }
+}
--- a/crates/fordrelay/src/lifecycle.rs
+++ b/crates/fordrelay/src/lifecycle.rs
@@ -1,15 +1,19 @@
 //! Start, readiness and stop.
 
+use crate::log::Logs;
 use crate::peers::Peers;
+use crate::usage;
 use api::{ListKind, Micros, SettingsError};
 use desk::{run, Bounds, Clock, Desk, Order, Outlets};
 use discovery::Places;
 use http1::{Listener, Phase, Terms};
+use settings::operator::{Operator, OperatorError};
 use settings::platform::{Config, ConfigError};
 use state::{ConnId, Input, Setup, State};
 use std::net::SocketAddr;
-use std::path::{Path, PathBuf};
+use std::path::PathBuf;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 use tokio::net::{TcpListener, UdpSocket};
 use tokio::signal::unix::{signal, Signal, SignalKind};
@@ -41,22 +45,64 @@
     /// The configuration can't be used.
     #[error(transparent)]
     Config(#[from] ConfigError),
+    /// The operators' file can't be used.
+    #[error(transparent)]
+    Operator(#[from] OperatorError),
     /// The settings can't be used.
     #[error("settings: {0}")]
     Settings(#[from] SettingsError),
+    /// What counts for `/metrics` can't be set up.
+    #[error("metrics: {0}")]
+    Metrics(String),
     /// Anything else that the system refuses.
     #[error("{0}")]
     Io(#[from] std::io::Error),
 }
 
-/// Serves by the configuration in the file named, or else the one that `ROUTER_CONFIG` names, until SIGTERM or
-/// SIGINT, and until everything taken by then is answered. On SIGHUP the file is read again.
+/// The files that a dispatcher is told by.
+#[derive(Debug, Clone)]
+pub struct Files {
+    /// The platform's; without one the file that `ROUTER_CONFIG` names.
+    pub config: Option<PathBuf>,
+    /// The operators'; without one everything in it is as it is when it is not said.
+    pub operator: Option<PathBuf>,
+}
+
+/// What both files come to.
+pub struct Told {
+    /// The platform's.
+    pub config: Config,
+    /// The operators'.
+    pub operator: Operator,
+    /// The levels of reduced service in it.
+    pub levels: Option<Arc<levels::Spec>>,
+}
+
+impl Files {
+    /// Reads both. Nothing of either counts where one is faulty.
+    ///
+    /// # Errors
+    /// The first fault, with the file and the key that it is in.
+    pub fn load(&self) -> Result<Told, StartError> {
+        let config = Config::load(self.config.as_deref())?;
+        let Some(path) = &self.operator else {
+            return Ok(Told { config, operator: Operator::default(), levels: None });
+        };
+        let (operator, source) = Operator::load(path)?;
+        Logs::filter(&operator.log).map_err(|e| source.fault("log.level", e))?;
+        let levels = operator.spec(&config.classes, &source)?.map(Arc::new);
+        Ok(Told { config, operator, levels })
+    }
+}
+
+/// Serves until SIGTERM or SIGINT, and until everything taken by then is answered. On SIGHUP both files are read
+/// again.
 ///
 /// # Errors
 /// What keeps it from starting.
-pub fn serve(file: Option<&Path>) -> Result<(), StartError> {
+pub fn serve(files: &Files) -> Result<(), StartError> {
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
-    LocalSet::new().block_on(&runtime, start(file))
+    LocalSet::new().block_on(&runtime, start(files))
 }
 
 /// Who holds the sockets that the loop asks for.
@@ -82,24 +128,43 @@
     }
 }
 
-/// Reads the configuration again at each SIGHUP. Where discovery is takes effect at once; anything else does at
-/// the next start, since flows and what is known of targets rest on it.
-async fn reload(mut hangup: Signal, file: Option<PathBuf>, discovery: watch::Sender<SocketAddr>) {
+/// Reads both files again at each SIGHUP. Where discovery is, the levels and what is logged take effect at once;
+/// anything else does at the next start, since flows and what is known of targets rest on it.
+async fn reload(
+    mut hangup: Signal,
+    files: Files,
+    logs: Logs,
+    desk: Rc<Desk>,
+    classes: Vec<String>,
+    discovery: watch::Sender<SocketAddr>,
+) {
     while hangup.recv().await.is_some() {
-        match Config::load(file.as_deref()) {
-            Ok(config) => {
+        match files.load() {
+            Ok(Told { config, operator, levels }) => {
                 info!(discovery = %config.discovery, "the configuration was read again");
                 discovery.send_if_modified(|at| std::mem::replace(at, config.discovery) != config.discovery);
+                logs.change(&operator.log);
+                // A level counts classes by position, and the positions in force are those of the start.
+                if config.classes == classes {
+                    desk.report(Input::Levels(levels));
+                } else {
+                    warn!("the classes differ from those of the start: the levels stay as they were");
+                }
             }
             Err(e) => warn!("the configuration stays as it was: {e}"),
         }
     }
 }
 
-async fn start(file: Option<&Path>) -> Result<(), StartError> {
+async fn start(files: &Files) -> Result<(), StartError> {
     // First of all: without a handler it would end the program.
     let hangup = signal(SignalKind::hangup())?;
-    let config = Config::load(file)?;
+    let Told { config, operator, levels } = files.load()?;
+    let logs = Logs::start(&operator.log);
+    let metrics = operator.admin.as_ref().map(|_| admin::recorder()).transpose();
+    let metrics = metrics.map_err(|e| StartError::Metrics(e.to_string()))?;
+    let limits = usage::Limits { memory: config.memory_bytes, descriptors: config.descriptors };
+    let classes = config.classes.clone();
     let bind = |key, addr| move |error| StartError::Bind { key, addr, error };
     let mut terminate = signal(SignalKind::terminate())?;
     let mut interrupt = signal(SignalKind::interrupt())?;
@@ -114,6 +179,7 @@
         connect_timeout: config.connect_timeout,
         idle: config.idle,
         probe_timeout: config.probe_timeout,
+        levels,
     })?;
     let bounds = Bounds { flows: config.open_flows, bytes: config.flow_bytes };
     let (desk, inputs) = Desk::new(clock, config.reports, bounds);
@@ -133,7 +199,15 @@
     let (watches, wanted) = mpsc::unbounded_channel();
     let (discovery_at, discovery) = watch::channel(config.discovery);
     spawn_local(discovery::watch(discovery, places, Rc::clone(&desk), wanted));
-    spawn_local(reload(hangup, file.map(Path::to_path_buf), discovery_at));
+    spawn_local(reload(hangup, files.clone(), logs, Rc::clone(&desk), classes.clone(), discovery_at));
+    spawn_local(usage::watch(Rc::clone(&desk), limits));
+    if let (Some(admin), Some(metrics)) = (operator.admin, metrics) {
+        let socket = TcpListener::bind(admin.listen).await.map_err(bind("admin.listen", admin.listen))?;
+        let request_wait = Duration::from_millis(admin.request_ms);
+        let terms = admin::Terms { connections: admin.connections, request_wait, classes };
+        info!("operators are answered on {}", socket.local_addr()?);
+        spawn_local(admin::Server::new(Rc::clone(&desk), terms, metrics).accept(socket));
+    }
     let sockets = Sockets { desk: Rc::clone(&desk), watches, peers };
     spawn_local(run(state, Rc::clone(&desk), inputs, sockets));
 
--- a/crates/http1/src/listener.rs
+++ b/crates/http1/src/listener.rs
@@ -14,6 +14,7 @@
 use hyper::service::{service_fn, HttpService};
 use hyper::{HeaderMap, Method, Request, Response, StatusCode};
 use hyper_util::rt::{TokioIo, TokioTimer};
+use metrics::counter;
 use state::Answer;
 use std::cell::Cell;
 use std::convert::Infallible;
@@ -284,7 +285,10 @@
             Ok(response) => response,
             Err(refusal) => {
                 debug!("fixed response: {refusal}");
-                refusal.response()
+                let response = refusal.response();
+                counter!("fordrelay_fixed_responses_total", "status" => response.status().as_str().to_owned())
+                    .increment(1);
+                response
             }
         };
         // Who sends what can't be used may have sent more of it.
--- /dev/null
+++ b/crates/lab/src/model.rs
@@ -0,0 +1,604 @@
+//! The whole in virtual time: the program's own reducer and decisions, any number of dispatchers, before modelled
+//! boxes, connections, discovery and clients. One thread, one seed, one outcome.
+
+use crate::checker::{Checker, ClassScore, Reply};
+use crate::engine::{Engine, Health, Task, Word};
+use crate::scenario::{name, Addresses, Arrival, Fault, Scenario, SECOND};
+use api::{JobId, JobSpec, ListKind, LoadReport, Micros, Outcome, Status};
+use bytes::Bytes;
+use levels::Spec;
+use rand::Rng;
+use rand_pcg::rand_core::SeedableRng;
+use rand_pcg::Pcg64Mcg;
+use settings::platform::{Config, ConfigError};
+use state::{reduce, Answer, ConnId, Effect, Input, Listed, Setup, State};
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BinaryHeap};
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+/// Times count from here, so that 'long ago' lies before the start.
+const START: Micros = 1_000 * SECOND;
+/// How long a run goes on after its last job came.
+const TAIL: Micros = 10 * SECOND;
+
+/// What a run came to.
+#[derive(Debug, Clone)]
+pub struct Outcomes {
+    /// Worth served over worth asked for.
+    pub worth: f64,
+    /// By class.
+    pub classes: Vec<ClassScore>,
+    /// Rules broken, and the first of them in words.
+    pub broken: (u64, Vec<String>),
+    /// Every change of level: when, at which dispatcher, from, to, why.
+    pub changes: Vec<LevelChange>,
+    /// Inputs that the reducers took.
+    pub inputs: u64,
+}
+
+/// One change of level.
+#[derive(Debug, Clone, PartialEq)]
+pub struct LevelChange {
+    /// When, from the start of the run.
+    pub at: Micros,
+    /// At which dispatcher.
+    pub dispatcher: u32,
+    /// From which level.
+    pub from: String,
+    /// To which level.
+    pub to: String,
+    /// Why: the word, and the figure with its value and bound.
+    pub why: String,
+}
+
+/// What is due at a time.
+#[derive(Debug)]
+enum Due {
+    /// A client asks, for the first time or again.
+    Ask { job: usize, tries: u32 },
+    /// A client leaves.
+    Leave { dispatcher: usize, flow: JobId },
+    /// Something reaches a dispatcher.
+    Report { dispatcher: usize, input: Input },
+    /// A dispatcher has asked to be woken.
+    Tick { dispatcher: usize },
+    /// Something reaches a box.
+    Arrive { dispatcher: usize, conn: ConnId, flow: JobId },
+    /// A probe reaches a box.
+    Probe { dispatcher: usize, conn: ConnId, at: usize },
+    /// A box has something to say.
+    Engine { at: usize },
+    /// A connection is closed at a box.
+    Cut { attempt: u64, at: usize },
+    /// Something goes wrong.
+    Fault { at: usize, fault: Fault },
+    /// Discovery tells a dispatcher how a box is.
+    Tell { dispatcher: usize, at: usize },
+    /// The operators do something at a dispatcher.
+    Operators { dispatcher: usize, input: Input },
+}
+
+struct Flow {
+    job: usize,
+    tries: u32,
+    id: u64,
+}
+
+/// A connection of a dispatcher to a box.
+struct Conn {
+    at: usize,
+    /// The attempt on it.
+    attempt: Option<u64>,
+}
+
+struct Dispatcher {
+    state: State,
+    wake: Option<Micros>,
+    flows: BTreeMap<JobId, Flow>,
+    conns: BTreeMap<ConnId, Conn>,
+    next_flow: u64,
+    level: String,
+}
+
+/// An attempt that reached a box.
+struct Attempt {
+    dispatcher: usize,
+    conn: ConnId,
+    id: u64,
+    job: u64,
+}
+
+struct Model<'a> {
+    scenario: &'a Scenario,
+    arrivals: Vec<Arrival>,
+    rng: Pcg64Mcg,
+    now: Micros,
+    due: BinaryHeap<Reverse<(Micros, u64)>>,
+    what: BTreeMap<u64, Due>,
+    count: u64,
+    dispatchers: Vec<Dispatcher>,
+    boxes: Vec<Engine>,
+    /// When each box is looked at next, so that no more than one look is due.
+    engine_due: Vec<Option<Micros>>,
+    attempts: BTreeMap<u64, Attempt>,
+    next_attempt: u64,
+    next_try: u64,
+    checker: Checker,
+    changes: Vec<LevelChange>,
+    inputs: u64,
+}
+
+/// Something that the operators do at all dispatchers: when, and what.
+pub type Doing = (Micros, Input);
+
+/// Plays a scenario with or without levels. Arrivals depend on the seed alone; `twist` draws all else anew.
+///
+/// # Errors
+/// The scenario makes no usable configuration.
+pub fn run(
+    scenario: &Scenario,
+    spec: Option<&Arc<Spec>>,
+    seed: u64,
+    twist: u64,
+    operators: &[Doing],
+) -> Result<Outcomes, ConfigError> {
+    let mut model = Model::new(scenario, spec, seed, twist)?;
+    for (at, input) in operators {
+        for dispatcher in 0..model.dispatchers.len() {
+            model.later(START + at, Due::Operators { dispatcher, input: input.clone() });
+        }
+    }
+    model.play();
+    Ok(model.outcomes())
+}
+
+impl<'a> Model<'a> {
+    fn new(
+        scenario: &'a Scenario,
+        spec: Option<&Arc<Spec>>,
+        seed: u64,
+        twist: u64,
+    ) -> Result<Self, ConfigError> {
+        let addrs = Addresses {
+            listen: "127.0.0.1:1".into(),
+            discovery: "127.0.0.1:2".into(),
+            peers: (0..scenario.dispatchers).map(|n| format!("127.0.1.{}:3", n + 1)).collect(),
+            boxes: (0..scenario.boxes.len()).map(|n| addr(n).to_string()).collect(),
+        };
+        let mixed = seed ^ twist.rotate_left(32);
+        let mut dispatchers = vec![];
+        for n in 0..scenario.dispatchers {
+            let config =
+                Config::parse(&scenario.config(n, &addrs, mixed.wrapping_mul(31) + u64::from(n)), |_| None)?;
+            let setup = Setup {
+                settings: config.settings,
+                seed: config.seed,
+                me: config.me,
+                connections: config.target_connections,
+                connect_timeout: config.connect_timeout,
+                idle: config.idle,
+                probe_timeout: config.probe_timeout,
+                levels: spec.cloned(),
+            };
+            let state = State::new(setup)
+                .map_err(|e| ConfigError::Key { key: "settings".into(), error: e.to_string() })?;
+            let (flows, conns) = Default::default();
+            dispatchers.push(Dispatcher {
+                state,
+                wake: None,
+                flows,
+                conns,
+                next_flow: 0,
+                level: "full".into(),
+            });
+        }
+        let mut model = Model {
+            scenario,
+            arrivals: scenario.arrivals(seed),
+            rng: Pcg64Mcg::seed_from_u64(mixed ^ 0x5eed),
+            now: START,
+            due: BinaryHeap::new(),
+            what: BTreeMap::new(),
+            count: 0,
+            dispatchers,
+            boxes: scenario.boxes.iter().map(|shape| Engine::new(shape.clone())).collect(),
+            engine_due: vec![None; scenario.boxes.len()],
+            attempts: BTreeMap::new(),
+            next_attempt: 0,
+            next_try: 0,
+            checker: Checker::new(&scenario.classes),
+            changes: vec![],
+            inputs: 0,
+        };
+        for dispatcher in 0..model.dispatchers.len() {
+            let all: Vec<_> = (0..model.boxes.len()).collect();
+            let stale = model.listing(ListKind::Inherited, &all);
+            model.later(START, Due::Report { dispatcher, input: stale });
+            let fresh = model.listing(ListKind::Whole, &all);
+            model.later(START + 20_000, Due::Report { dispatcher, input: fresh });
+        }
+        for (at, which, fault) in &scenario.faults {
+            model.later(START + at, Due::Fault { at: *which, fault: *fault });
+        }
+        for job in 0..model.arrivals.len() {
+            model.later(START + model.arrivals[job].at, Due::Ask { job, tries: 0 });
+        }
+        Ok(model)
+    }
+
+    fn later(&mut self, at: Micros, what: Due) {
+        self.count += 1;
+        self.due.push(Reverse((at.max(self.now), self.count)));
+        self.what.insert(self.count, what);
+    }
+
+    fn between(&mut self, (least, most): (Micros, Micros)) -> Micros {
+        self.rng.random_range(least..=most.max(least))
+    }
+
+    fn travel(&mut self) -> Micros {
+        self.between(self.scenario.travel)
+    }
+
+    fn listing(&self, kind: ListKind, which: &[usize]) -> Input {
+        let entry = |at: &usize| {
+            let engine = &self.boxes[*at];
+            let status = match engine.health() {
+                Health::Down | Health::Fallen => Status::Gone,
+                _ if engine.draining() => Status::Draining,
+                _ => Status::Ready,
+            };
+            let shape = engine.shape();
+            let (zone, kind, cell) = (shape.zone, shape.kind, *at as u32 / 2);
+            Listed { name: name(*at), addr: addr(*at), zone, kind, cell, status, started: engine.started() }
+        };
+        Input::Listed { kind, version: Some(1), entries: which.iter().map(entry).collect() }
+    }
+
+    fn play(&mut self) {
+        let end = START + self.scenario.end + TAIL;
+        while let Some(Reverse((at, number))) = self.due.pop() {
+            if at > end {
+                break;
+            }
+            self.now = self.now.max(at);
+            if let Some(due) = self.what.remove(&number) {
+                self.take(due);
+            }
+        }
+        self.checker.end(end);
+    }
+
+    fn take(&mut self, due: Due) {
+        match due {
+            Due::Ask { job, tries } => self.ask(job, tries),
+            Due::Leave { dispatcher, flow } => {
+                if let Some(left) = self.dispatchers[dispatcher].flows.remove(&flow) {
+                    self.checker.left(left.id);
+                    self.report(dispatcher, Input::Left(flow));
+                }
+            }
+            Due::Report { dispatcher, input } => self.report(dispatcher, input),
+            Due::Tick { dispatcher } => {
+                if self.dispatchers[dispatcher].wake.is_some_and(|at| at <= self.now) {
+                    self.dispatchers[dispatcher].wake = None;
+                    self.report(dispatcher, Input::Tick);
+                }
+            }
+            Due::Arrive { dispatcher, conn, flow } => self.arrive(dispatcher, conn, flow),
+            Due::Probe { dispatcher, conn, at } => self.probe(dispatcher, conn, at),
+            Due::Engine { at } => {
+                if self.engine_due[at].is_some_and(|due| due <= self.now) {
+                    self.engine_due[at] = None;
+                    let words = self.boxes[at].advance(self.now);
+                    self.say(at, words);
+                }
+            }
+            Due::Cut { attempt, at } => {
+                let words = self.boxes[at].cancel(self.now, attempt);
+                self.say(at, words);
+            }
+            Due::Fault { at, fault } => self.fault(at, fault),
+            Due::Tell { dispatcher, at } => {
+                let input = self.listing(ListKind::Changes, &[at]);
+                self.report(dispatcher, input);
+                let ready = self.boxes[at].reachable() && !self.boxes[at].draining();
+                self.checker.told(self.now, at, dispatcher as u32, ready);
+            }
+            Due::Operators { dispatcher, input } => self.report(dispatcher, input),
+        }
+    }
+
+    /// A client asks; its deadline counts from now.
+    fn ask(&mut self, job: usize, tries: u32) {
+        let arrival = self.arrivals[job].clone();
+        let terms = &self.scenario.classes[arrival.class];
+        let (give_up, first) = (terms.give_up, START + arrival.at);
+        if tries == 0 {
+            self.checker.asked(&arrival);
+        }
+        let deadline = first + give_up;
+        if deadline <= self.now + 1_000 {
+            return;
+        }
+        // A client's next try comes to any dispatcher.
+        let dispatcher = (arrival.dispatcher + tries) as usize % self.dispatchers.len();
+        self.next_try += 1;
+        let id = self.next_try;
+        let to = &mut self.dispatchers[dispatcher];
+        let flow = JobId(to.next_flow);
+        to.next_flow += 1;
+        to.flows.insert(flow, Flow { job, tries, id });
+        self.checker.taken(id, arrival.class, deadline);
+        if let Some(leaves) = arrival.leaves.filter(|leaves| first + leaves > self.now) {
+            self.later(first + leaves, Due::Leave { dispatcher, flow });
+        }
+        let spec = JobSpec {
+            id: flow,
+            class: arrival.class,
+            tenant: 0,
+            slots: arrival.slots,
+            expires: deadline - 2_000,
+            work: None,
+            key: arrival.key,
+        };
+        self.report(dispatcher, Input::Taken(spec));
+    }
+
+    /// Hands an input to a reducer and carries out what it asks for.
+    fn report(&mut self, dispatcher: usize, input: Input) {
+        self.inputs += 1;
+        if let Input::Closed { conn, .. } = &input {
+            self.dispatchers[dispatcher].conns.remove(conn);
+        }
+        let effects = reduce(&mut self.dispatchers[dispatcher].state, self.now, input);
+        for effect in effects {
+            self.carry_out(dispatcher, effect);
+        }
+        let state = &self.dispatchers[dispatcher].state;
+        let wake = state.wake_at();
+        if let Some(at) = wake.filter(|at| self.dispatchers[dispatcher].wake.is_none_or(|armed| *at < armed))
+        {
+            self.dispatchers[dispatcher].wake = Some(at);
+            self.later(at, Due::Tick { dispatcher });
+        }
+        self.note_level(dispatcher);
+    }
+
+    fn note_level(&mut self, dispatcher: usize) {
+        let state = &self.dispatchers[dispatcher].state;
+        let Some((level, change)) = state.level() else { return };
+        if level == self.dispatchers[dispatcher].level {
+            return;
+        }
+        let why = change.map_or(String::new(), |c| match c.cause.figure() {
+            Some((gauge, value, bound)) => {
+                format!("{} {} {value:.3} at {bound}", c.cause.word(), gauge.key())
+            }
+            None => c.cause.word().to_owned(),
+        });
+        let to = level.to_owned();
+        let from = std::mem::replace(&mut self.dispatchers[dispatcher].level, to.clone());
+        self.changes.push(LevelChange { at: self.now - START, dispatcher: dispatcher as u32, from, to, why });
+    }
+
+    fn carry_out(&mut self, dispatcher: usize, effect: Effect) {
+        match effect {
+            Effect::Open { conn, addr } => {
+                let at = usize::from(addr.port()) - FIRST_PORT as usize;
+                self.dispatchers[dispatcher].conns.insert(conn, Conn { at, attempt: None });
+                let there_and_back = self.travel() + self.travel();
+                let input = match self.boxes[at].reachable() {
+                    true => Input::Up(conn),
+                    false => Input::Closed { conn, unsent: true },
+                };
+                self.later(self.now + there_and_back, Due::Report { dispatcher, input });
+            }
+            Effect::Send { conn, flow, .. } => {
+                let travel = self.travel();
+                self.later(self.now + travel, Due::Arrive { dispatcher, conn, flow });
+            }
+            Effect::Probe(conn) => {
+                let Some(at) = self.dispatchers[dispatcher].conns.get(&conn).map(|c| c.at) else { return };
+                let travel = self.travel();
+                self.later(self.now + travel, Due::Probe { dispatcher, conn, at });
+            }
+            Effect::Close(conn) => {
+                let Some(closed) = self.dispatchers[dispatcher].conns.remove(&conn) else { return };
+                if let Some(attempt) = closed.attempt {
+                    self.forget(attempt);
+                    let travel = self.travel();
+                    self.later(self.now + travel, Due::Cut { attempt, at: closed.at });
+                }
+                self.later(
+                    self.now,
+                    Due::Report { dispatcher, input: Input::Closed { conn, unsent: false } },
+                );
+            }
+            Effect::Answer { flow, answer } => self.answer(dispatcher, flow, answer),
+            Effect::Watch { .. } => {}
+            Effect::Tell(message) => {
+                for other in (0..self.dispatchers.len()).filter(|n| *n != dispatcher) {
+                    let (least, most, lost) = self.scenario.datagram;
+                    let late = self.between((least, most));
+                    if self.rng.random::<f64>() >= lost {
+                        let input = Input::Told { from: dispatcher as u32, message: message.clone() };
+                        self.later(self.now + late, Due::Report { dispatcher: other, input });
+                    }
+                }
+            }
+        }
+    }
+
+    fn answer(&mut self, dispatcher: usize, flow: JobId, answer: Answer) {
+        let Some(flow) = self.dispatchers[dispatcher].flows.remove(&flow) else { return };
+        let arrival = self.arrivals[flow.job].clone();
+        let reply = match answer {
+            Answer::Served(_) => Reply::Served,
+            Answer::Refused { .. } => Reply::Refused,
+            Answer::Failed | Answer::Unusable => Reply::Failed,
+        };
+        self.checker.answered(self.now, flow.id, reply, START + arrival.at, arrival.work);
+        if let Answer::Refused { retry_after } = answer {
+            if flow.tries < self.scenario.habits.retries {
+                let wait = retry_after.unwrap_or(100_000);
+                self.later(self.now + wait, Due::Ask { job: flow.job, tries: flow.tries + 1 });
+            }
+        }
+    }
+
+    /// A request reaches its box, if its connection still stands.
+    fn arrive(&mut self, dispatcher: usize, conn: ConnId, flow: JobId) {
+        let from = &mut self.dispatchers[dispatcher];
+        let (Some(on), Some(of)) = (from.conns.get_mut(&conn), from.flows.get(&flow)) else { return };
+        let (at, id, job) = (on.at, of.id, of.job);
+        self.next_attempt += 1;
+        let number = self.next_attempt;
+        on.attempt = Some(number);
+        let arrival = &self.arrivals[job];
+        let terms = &self.scenario.classes[arrival.class];
+        let task = Task {
+            id: number,
+            class: arrival.class,
+            kind: u32::try_from(terms.kind).ok(),
+            priority: terms.priority,
+            slots: arrival.slots,
+            work: arrival.work,
+            key: arrival.key,
+        };
+        self.attempts.insert(number, Attempt { dispatcher, conn, id, job: job as u64 });
+        self.checker.sent(self.now, id, job as u64, number, at, dispatcher as u32);
+        let fell = self.boxes[at].health() == Health::Fallen;
+        let words = self.boxes[at].arrive(self.now, task);
+        if !fell && self.boxes[at].health() == Health::Fallen {
+            self.checker.other(self.now, &format!("box {at} was pushed over while it was cold"));
+        }
+        self.say(at, words);
+    }
+
+    fn probe(&mut self, dispatcher: usize, conn: ConnId, at: usize) {
+        if !self.dispatchers[dispatcher].conns.contains_key(&conn) || self.boxes[at].health() == Health::Hung
+        {
+            return;
+        }
+        let travel = self.travel();
+        if !self.boxes[at].reachable() {
+            let input = Input::Closed { conn, unsent: false };
+            return self.later(self.now + travel, Due::Report { dispatcher, input });
+        }
+        let words = self.boxes[at].probed(self.now);
+        self.say(at, words);
+        let (free, held) = self.boxes[at].load();
+        let noisy = (free + self.rng.random_range(-0.3..0.3)).max(0.0);
+        let report = LoadReport { free_slots: Some(noisy), queued: None, outstanding: Some(held as f64) };
+        let input = Input::Ended { conn, outcome: Outcome::Done, result: None, report: Some(report) };
+        self.later(self.now + travel, Due::Report { dispatcher, input });
+        self.later(self.now + travel, Due::Report { dispatcher, input: Input::Free(conn) });
+    }
+
+    fn forget(&mut self, attempt: u64) {
+        if let Some(over) = self.attempts.remove(&attempt) {
+            self.checker.back(over.id, attempt);
+        }
+    }
+
+    /// What a box says travels to the dispatchers that it concerns.
+    fn say(&mut self, at: usize, words: Vec<Word>) {
+        for word in words {
+            let (Word::Started(n) | Word::Running(n, _) | Word::Done(n) | Word::Declined(n) | Word::Lost(n)) =
+                word;
+            let Some((dispatcher, conn, id, job)) =
+                self.attempts.get(&n).map(|a| (a.dispatcher, a.conn, a.id, a.job))
+            else {
+                continue;
+            };
+            let ended = |outcome, result| Input::Ended { conn, outcome, result, report: None };
+            let inputs = match word {
+                Word::Started(_) => {
+                    self.checker.ran(self.now, id, job);
+                    vec![Input::Started(conn)]
+                }
+                Word::Running(_, share) => vec![Input::Progress(conn, share)],
+                Word::Done(_) => {
+                    vec![ended(Outcome::Done, Some(Bytes::from_static(b"r"))), Input::Free(conn)]
+                }
+                Word::Declined(_) => vec![ended(Outcome::Full, None), Input::Free(conn)],
+                Word::Lost(_) => vec![Input::Closed { conn, unsent: false }],
+            };
+            if !matches!(word, Word::Started(_) | Word::Running(..)) {
+                self.forget(n);
+                self.dispatchers[dispatcher].conns.get_mut(&conn).into_iter().for_each(|c| c.attempt = None);
+            }
+            // In order: what a box said first arrives first.
+            let travel = self.scenario.travel.0;
+            for input in inputs {
+                self.later(self.now + travel, Due::Report { dispatcher, input });
+            }
+        }
+        if let Some(next) = self.boxes[at].next() {
+            if self.engine_due[at].is_none_or(|due| next < due) {
+                self.engine_due[at] = Some(next);
+                self.later(next, Due::Engine { at });
+            }
+        }
+    }
+
+    fn fault(&mut self, at: usize, fault: Fault) {
+        let now = self.now;
+        let words = match fault {
+            Fault::Kill => self.boxes[at].kill(now),
+            Fault::Start => {
+                self.boxes[at].start(now);
+                vec![]
+            }
+            Fault::Hang => self.boxes[at].set_health(now, Health::Hung),
+            Fault::Mend => self.boxes[at].set_health(now, Health::Up),
+            Fault::Slow(share) => self.boxes[at].set_health(now, Health::Slow(share)),
+            Fault::Drain => self.boxes[at].drain(now),
+        };
+        self.say(at, words);
+        if matches!(fault, Fault::Kill) {
+            self.reset_idle(at);
+        }
+        // Discovery knows only of processes that run, drain or are gone.
+        if matches!(fault, Fault::Kill | Fault::Start | Fault::Drain) {
+            for dispatcher in 0..self.dispatchers.len() {
+                let lag = self.between(self.scenario.lag);
+                self.later(self.now + lag, Due::Tell { dispatcher, at });
+            }
+        }
+    }
+
+    /// When a process dies its connections are reset, those that carry nothing too.
+    fn reset_idle(&mut self, at: usize) {
+        let travel = self.travel();
+        for dispatcher in 0..self.dispatchers.len() {
+            let conns: Vec<ConnId> = {
+                let all = self.dispatchers[dispatcher].conns.iter();
+                all.filter(|(_, c)| c.at == at && c.attempt.is_none()).map(|(id, _)| *id).collect()
+            };
+            for conn in conns {
+                let input = Input::Closed { conn, unsent: false };
+                self.later(self.now + travel, Due::Report { dispatcher, input });
+            }
+        }
+    }
+
+    fn outcomes(self) -> Outcomes {
+        let (count, words) = self.checker.broken();
+        Outcomes {
+            worth: self.checker.worth(),
+            classes: self.checker.scores().to_vec(),
+            broken: (count, words.to_vec()),
+            changes: self.changes,
+            inputs: self.inputs,
+        }
+    }
+}
+
+const FIRST_PORT: u16 = 4_000;
+
+fn addr(at: usize) -> SocketAddr {
+    ([127, 0, 0, 1], FIRST_PORT + at as u16).into()
+}
--- a/crates/settings/src/platform.rs
+++ b/crates/settings/src/platform.rs
@@ -4,7 +4,7 @@
 use crate::list::List;
 use crate::report::ReportNames;
 use api::{Micros, Settings, SettingsError};
-use serde::Deserialize;
+use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 
@@ -128,6 +128,41 @@
     pub all: Option<SocketAddr>,
 }
 
+/// What a configuration comes to, defaults included, for who reads it.
+#[derive(Debug, Serialize)]
+pub struct Summary<'a> {
+    /// This dispatcher's name.
+    pub name: &'a str,
+    /// Where clients connect.
+    pub listen: SocketAddr,
+    /// Where discovery is.
+    pub discovery: SocketAddr,
+    /// Names of the classes.
+    pub classes: &'a [String],
+    /// Names of the zones.
+    pub zones: &'a [String],
+    /// Names of the machine kinds.
+    pub kinds: &'a [String],
+    /// Dispatchers of the tier.
+    pub dispatchers: u32,
+    /// Targets of the list kept from an earlier run.
+    pub known_targets: usize,
+    /// Connections from clients that may be open together.
+    pub client_connections: usize,
+    /// Connections to targets that may be open together.
+    pub target_connections: usize,
+    /// Flows that may be open together.
+    pub open_flows: usize,
+    /// Memory that they may take together, bytes.
+    pub flow_bytes: usize,
+    /// A connection to a target must be up within this, microseconds.
+    pub connect_timeout_us: Micros,
+    /// An idle connection to a target is closed after this, microseconds.
+    pub idle_us: Micros,
+    /// A probe must be answered within this, microseconds.
+    pub probe_timeout_us: Micros,
+}
+
 /// A configuration that can be used.
 #[derive(Debug, Clone)]
 pub struct Config {
@@ -165,6 +200,10 @@
     pub open_flows: usize,
     /// Memory that they may take together.
     pub flow_bytes: usize,
+    /// Memory that the program may take in all.
+    pub memory_bytes: usize,
+    /// Descriptors that it may hold in all.
+    pub descriptors: usize,
     /// A connection to a target that is not up by then has failed.
     pub connect_timeout: Micros,
     /// An idle connection to a target is closed after this.
@@ -174,6 +213,27 @@
 }
 
 impl Config {
+    /// What it comes to.
+    pub fn summary(&self) -> Summary<'_> {
+        Summary {
+            name: &self.name,
+            listen: self.listen,
+            discovery: self.discovery,
+            classes: &self.classes,
+            zones: &self.zones,
+            kinds: &self.kinds,
+            dispatchers: self.settings.dispatchers,
+            known_targets: self.known.as_ref().map_or(0, |list| list.servers.len()),
+            client_connections: self.client_connections,
+            target_connections: self.target_connections,
+            open_flows: self.open_flows,
+            flow_bytes: self.flow_bytes,
+            connect_timeout_us: self.connect_timeout,
+            idle_us: self.idle,
+            probe_timeout_us: self.probe_timeout,
+        }
+    }
+
     /// Reads the file named, or else the one that `ROUTER_CONFIG` names.
     ///
     /// # Errors
@@ -192,8 +252,9 @@
     /// The first fault, with the key that it is in.
     pub fn parse(text: &str, variable: impl Fn(&str) -> Option<String>) -> Result<Self, ConfigError> {
         let mut reader = serde_json::Deserializer::from_str(text);
-        let file: File = serde_path_to_error::deserialize(&mut reader)
-            .map_err(|e| fault(e.path().to_string(), e.into_inner()))?;
+        let file: File = serde_path_to_error::deserialize(&mut reader).map_err(|e| {
+            fault(crate::operator::named(&e.path().to_string(), &e.inner().to_string()), e.inner())
+        })?;
         reader.end().map_err(|e| fault("(end of file)", e))?;
         let address = |key: &str, stated: Option<SocketAddr>, name: &str| match (stated, variable(name)) {
             (Some(addr), _) => Ok(addr),
@@ -261,6 +322,8 @@
             target_connections,
             open_flows: facts.allowed.max_open.unwrap_or(MAX_OPEN),
             flow_bytes: memory / FLOWS_MEMORY,
+            memory_bytes: memory,
+            descriptors: sockets,
             connect_timeout,
             idle: (idle as f64 * IDLE_SHARE) as Micros,
             probe_timeout: micros(PROBE_TIMEOUT_MS),
--- a/crates/settings/tests/platform.rs
+++ b/crates/settings/tests/platform.rs
@@ -38,8 +38,9 @@
 #[case(r#""attempts-cap":3"#, r#""attempts-cap":0"#, "settings.allowed.attempts-cap: ")]
 #[case(r#""slo-ms":250"#, r#""slo-ms":0"#, "settings.classes[].slo-ms: ")]
 #[case("10000", "-1", "settings.allowed.conn-idle-ms: ")]
-#[case(r#""slo-ms":250,"#, "", "settings.classes[0]: missing field `slo-ms`")]
+#[case(r#""slo-ms":250,"#, "", "settings.classes[0].slo-ms: missing field")]
 #[case(r#""name":"a","#, "", "settings.classes[0].name: ")]
+#[case(r#""settings":{"#, r#""other":{"#, "settings: missing field")]
 #[case(r#""state":"ready""#, r#""state":"asleep""#, "known.servers[0].state: ")]
 fn a_fault_is_told_by_its_key(#[case] good: &str, #[case] bad: &str, #[case] message: &str) {
     let text = GOOD.replace('\n', "");
--- a/crates/simwire/src/lib.rs
+++ b/crates/simwire/src/lib.rs
@@ -16,11 +16,13 @@
 
 use api::told::{self, mark};
 use api::*;
-use decide::Dispatcher;
+use levels::Governed;
 use serde::{Deserialize, Serialize};
 use settings::facts::{micros, settings, Facts};
+use settings::operator::{Operator, Source};
 use std::collections::{BTreeMap, HashMap};
 use std::panic::{catch_unwind, AssertUnwindSafe};
+use std::sync::Arc;
 
 /// One line from the simulator.
 #[derive(Debug, Deserialize)]
@@ -262,7 +264,7 @@
 
 /// One dispatcher with the names that its wire uses.
 struct Instance {
-    dispatcher: Dispatcher,
+    decisions: Governed,
     layout: ReportLayout,
     names: Vec<String>,
     numbers: HashMap<String, WorkerId>,
@@ -386,10 +388,24 @@
 /// The instances of one process; they share nothing.
 #[derive(Default)]
 pub struct Host {
+    operator: Option<(Operator, Source)>,
     instances: BTreeMap<u64, Option<Instance>>,
 }
 
 impl Host {
+    /// A host whose instances take what concerns them from an operators' file.
+    pub fn new(operator: Option<(Operator, Source)>) -> Self {
+        Host { operator, instances: BTreeMap::new() }
+    }
+
+    fn start(&self, start: &Start) -> Result<Governed, String> {
+        let classes: Vec<String> = start.facts.classes.iter().map(|c| c.name.clone()).collect();
+        let spec = self.operator.as_ref().map(|(operator, source)| operator.spec(&classes, source));
+        let spec = spec.transpose().map_err(|e| e.to_string())?.flatten();
+        let settings = settings(&start.facts).map_err(|e| e.to_string())?;
+        Governed::new(settings, start.init_seed, spec.map(Arc::new)).map_err(|e| e.to_string())
+    }
+
     /// Answers one line.
     ///
     /// # Errors
@@ -442,18 +458,18 @@
         }
         if let Some(start) = &message.start {
             actions.clear();
-            let made = settings(&start.facts).and_then(|s| Dispatcher::new(s, start.init_seed));
+            let made = self.start(start);
             let layout = ReportLayout::new(&start.facts);
             return Ok(match made {
-                Ok(dispatcher) => {
+                Ok(decisions) => {
                     let (names, numbers, marks) = (Vec::new(), HashMap::new(), HashMap::new());
-                    let instance = Instance { dispatcher, layout, names, numbers, marks };
+                    let instance = Instance { decisions, layout, names, numbers, marks };
                     self.instances.insert(who, Some(instance));
                     Ok(())
                 }
                 Err(e) => {
                     self.instances.insert(who, None);
-                    Err(e.to_string())
+                    Err(e)
                 }
             });
         }
@@ -463,7 +479,7 @@
             None => return Err(format!("an event for instance {who}, which was never started")),
         };
         let Some(event) = instance.event(message) else { return Ok(Ok(())) };
-        let handled = catch_unwind(AssertUnwindSafe(|| instance.dispatcher.handle(now, event, actions)));
+        let handled = catch_unwind(AssertUnwindSafe(|| instance.decisions.handle(now, event, actions)));
         Ok(handled.map_err(|_| "the decision module panicked".to_string()))
     }
 }
--- a/crates/simwire/src/main.rs
+++ b/crates/simwire/src/main.rs
@@ -1,7 +1,10 @@
 //! Speaks the simulator's wire on standard input and output.
 
+use bpaf::{long, Parser};
+use settings::operator::Operator;
 use simwire::Host;
 use std::io::{self, BufRead, Write};
+use std::path::PathBuf;
 use std::process::ExitCode;
 
 fn main() -> ExitCode {
@@ -16,7 +19,15 @@
 
 fn run() -> Result<(), String> {
     let (mut input, mut output) = (io::stdin().lock(), io::stdout().lock());
-    let (mut host, mut line, mut count) = (Host::default(), String::new(), 0u64);
+    let operator = long("operator")
+        .help("The operators' file, for what of it concerns the decisions")
+        .argument::<PathBuf>("FILE")
+        .optional()
+        .to_options()
+        .descr("The decisions on the simulator's wire, on standard input and output")
+        .run();
+    let operator = operator.map(|file| Operator::load(&file)).transpose().map_err(|e| e.to_string())?;
+    let (mut host, mut line, mut count) = (Host::new(operator), String::new(), 0u64);
     loop {
         line.clear();
         count += 1;
--- a/crates/state/src/lib.rs
+++ b/crates/state/src/lib.rs
@@ -12,7 +12,9 @@
 
 use api::{JobId, JobSpec, ListKind, LoadReport, Micros, Outcome, Settings, Status};
 use bytes::Bytes;
+use levels::{Spec, Usage};
 use std::net::SocketAddr;
+use std::sync::Arc;
 
 /// One connection to a target, as the reducer numbers it. A number never returns.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -35,6 +37,8 @@
     pub idle: Micros,
     /// A probe that is not answered by then has failed.
     pub probe_timeout: Micros,
+    /// Levels of reduced service, if there are any.
+    pub levels: Option<Arc<Spec>>,
 }
 
 /// One target of a list.
@@ -114,6 +118,12 @@
         /// What it sent.
         message: Vec<u8>,
     },
+    /// How much of the program's own limits is in use.
+    Used(Usage),
+    /// Other levels of reduced service are in force from now on, or none.
+    Levels(Option<Arc<Spec>>),
+    /// The operators ask for a level, 0 for full service, for so long; with none for what the figures say.
+    Force(Option<(usize, Micros)>),
     /// The time that [`State::wake_at`] named has come.
     Tick,
 }
--- a/crates/state/src/reducer.rs
+++ b/crates/state/src/reducer.rs
@@ -7,9 +7,9 @@
 use api::told;
 use api::{Action, Event, Idempotency, JobId, LoadReport, Micros, Outcome, Reports, SettingsError, WorkerId};
 use bytes::Bytes;
-use decide::Dispatcher;
+use levels::{Change, Governed, Status};
 use std::collections::{BTreeSet, VecDeque};
-use tracing::debug;
+use tracing::{debug, info};
 
 /// How long a connection may take for the last bytes after a target's last word.
 const SETTLE: Micros = 1_000_000;
@@ -18,12 +18,14 @@
 #[derive(Debug)]
 pub struct State {
     setup: Setup,
-    dispatcher: Dispatcher,
+    decisions: Governed,
     flows: Flows,
     targets: TargetGroup,
     pool: Pool,
     /// Every time that the decisions have asked for: they ask for none twice, so none may be dropped.
     wakes: BTreeSet<Micros>,
+    /// Empty between calls; kept for its room.
+    actions: Vec<Action>,
 }
 
 impl State {
@@ -32,9 +34,19 @@
     /// # Errors
     /// What makes the settings unusable.
     pub fn new(setup: Setup) -> Result<Self, SettingsError> {
-        let dispatcher = Dispatcher::new(setup.settings.clone(), setup.seed)?;
+        let decisions = Governed::new(setup.settings.clone(), setup.seed, setup.levels.clone())?;
         let (flows, targets, pool) = (Default::default(), Default::default(), Pool::new(setup.idle));
-        Ok(State { setup, dispatcher, flows, targets, pool, wakes: BTreeSet::new() })
+        Ok(State { setup, decisions, flows, targets, pool, wakes: BTreeSet::new(), actions: vec![] })
+    }
+
+    /// What can be seen from outside.
+    pub fn status(&self) -> Status {
+        self.decisions.status()
+    }
+
+    /// The level of service in force, where there are levels, and the last change.
+    pub fn level(&self) -> Option<(&str, Option<&Change>)> {
+        self.decisions.level()
     }
 
     /// When an [`Input::Tick`] is wanted next.
@@ -108,18 +120,39 @@
                     self.events.push_back(Event::Told { from, held });
                 }
             }
+            Input::Used(usage) => self.state.decisions.used(usage),
+            Input::Levels(spec) => {
+                self.decide(|decisions, now, actions| decisions.replace(now, spec, actions))
+            }
+            Input::Force(level) => {
+                self.decide(|decisions, now, actions| decisions.force(now, level, actions))
+            }
             Input::Tick => {}
         }
     }
 
     /// Delivers what is queued, and does what the decisions ask for.
     fn settle(&mut self) {
-        let mut actions = Vec::new();
         while let Some(event) = self.events.pop_front() {
-            self.state.dispatcher.handle(self.now, event, &mut actions);
-            for action in actions.drain(..) {
-                self.act(action);
-            }
+            self.decide(|decisions, now, actions| decisions.handle(now, event, actions));
+        }
+    }
+
+    /// Has something decided, does what comes of it, and says so where another level is in force.
+    fn decide(&mut self, ask: impl FnOnce(&mut Governed, Micros, &mut Vec<Action>)) {
+        let mut actions = std::mem::take(&mut self.state.actions);
+        ask(&mut self.state.decisions, self.now, &mut actions);
+        for action in actions.drain(..) {
+            self.act(action);
+        }
+        self.state.actions = actions;
+        for change in self.state.decisions.take_changes() {
+            let (gauge, value, bound) = match change.cause.figure() {
+                Some((gauge, value, bound)) => (Some(gauge.key()), Some(value), Some(bound)),
+                None => (None, None, None),
+            };
+            let (level, from, cause) = (change.to, change.from, change.cause.word());
+            info!(%level, %from, cause, gauge, value, bound, "the level of service changed");
         }
     }
 
--- a/crates/state/tests/reducer.rs
+++ b/crates/state/tests/reducer.rs
@@ -24,6 +24,7 @@
             connect_timeout: 250 * MS,
             idle: 5_000 * MS,
             probe_timeout: 400 * MS,
+            levels: None,
         };
         let mut bench = Bench { state: State::new(setup).expect("usable"), now: START, effects: vec![] };
         bench.list(ListKind::Whole, (0..targets).map(|n| (n, Status::Ready)));
