Give the lab a fleet on sockets, clients and a checker; levels act only under pressure

Need: levels that are still in force between two peaks must cost nothing, and what they bring must be seen on sockets.

Change: a level turns new jobs away only while what is held would take a stated time; headroom counts where another class is bound to; a severer level follows only once the one in force has had its own time to help. The lab has boxes, a late discovery and clients on loopback around the program as it runs in service, 'up' and 'swings' on sockets.

--- a/crates/api/src/lib.rs
+++ b/crates/api/src/lib.rs
@@ -502,7 +502,7 @@
     pub attempts: u32,
     /// A job that has not been sent for so long is turned away, if it has not been sent before.
     pub hold: Option<Micros>,
-    /// Slots that a job leaves free beside its own at the worker that it is sent to.
+    /// Slots that a job leaves free beside its own at a worker of a kind that another class is bound to.
     pub headroom: f64,
 }
 
@@ -520,6 +520,9 @@
     pub classes: Vec<ClassTerms>,
     /// Jobs that may be open together.
     pub open: usize,
+    /// New jobs are turned away only while what is held would take at least this long: with less, a level that is
+    /// still in force costs nothing.
+    pub above: Micros,
     /// Advice to those turned away, before it is spread; bounded by the longest that clients keep to.
     pub retry_after: Micros,
 }
@@ -555,6 +558,14 @@
     pub turned_away: u64,
 }
 
+impl ClassFigures {
+    /// One more job is over.
+    pub fn count(&mut self, in_time: bool) {
+        self.over += 1;
+        self.in_time += u64::from(in_time);
+    }
+}
+
 /// What the decisions can tell of the service, for those who watch over it.
 #[derive(Debug, Clone, Default, PartialEq)]
 pub struct Figures {
--- a/crates/decide/src/figures.rs
+++ b/crates/decide/src/figures.rs
@@ -1,8 +1,8 @@
 //! What is believed and counted, for those who watch over the service. Nothing is decided here.
 
-use super::{Dispatcher, Worker, RUN_CAP};
+use super::{Dispatcher, Lane, Worker, RUN_CAP};
 use api::*;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 
 /// Progress notes missed in a row, or capped runs where there are none, after which a worker is silent.
 const SILENT: f64 = 1.5;
@@ -63,6 +63,19 @@
         super::span(times * each) + self.clock.grace
     }
 
+    /// The share of its capacity that a worker has for certain.
+    pub(super) fn warmth(&self, w: &Worker) -> f64 {
+        let Some(started) = w.listing.started else { return 1.0 };
+        let (rules, age) = (&self.settings.rules, self.now.saturating_sub(started));
+        let warm = (age as f64 / rules.cold_for.max(1) as f64).min(1.0);
+        (rules.start_capacity + (1.0 - rules.start_capacity) * warm).clamp(warm, 1.0)
+    }
+
+    /// Work that is held there, in slots times microseconds.
+    pub(super) fn work<'a>(&self, held: impl Iterator<Item = (&'a Lane, &'a VecDeque<JobId>)>) -> f64 {
+        held.map(|(l, q)| f64::from(l.slots) * q.len() as f64 * self.classes[l.class].run).sum()
+    }
+
     /// What is believed and counted, for those who watch over the service.
     pub fn figures(&self) -> Figures {
         let patience = self.patience();
@@ -75,8 +88,7 @@
                 false => at.answering += self.warmth(w),
             }
         }
-        let held = self.held.iter();
-        let held = held.map(|(l, q)| f64::from(l.slots) * q.len() as f64 * self.classes[l.class].run).sum();
+        let held = self.work(self.held.iter());
         let ((sent, refused), own) = (self.fleet.sent, self.fleet.own);
         let classes = self.classes.iter().map(|t| t.counts).collect();
         Figures {
--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -7,7 +7,6 @@
 
 use api::told::kin;
 use api::*;
-use figures::Quiet;
 use rand_pcg::rand_core::{RngCore, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 use std::cmp::Reverse;
@@ -135,7 +134,7 @@
     probing: Option<Micros>,
     used: Option<Micros>, // last sent to or heard of, since its connections were last given back
     errors: u32,
-    quiet: Quiet,
+    quiet: figures::Quiet,
     cold_since: Micros, // when it was last sent to, or its start was told
     cold_wait: f64,     // the share of a gap that a cold worker is left from then
 }
@@ -280,8 +279,9 @@
     id: WorkerId,
     room: f64,
     pace: f64,
-    known: f64, // share of what is held there that is known
-    price: f64, // of crossing zones and of a new connection
+    known: f64,  // share of what is held there that is known
+    price: f64,  // of crossing zones and of a new connection
+    bound: bool, // some class runs nowhere else
 }
 
 #[derive(Debug, Default)]
@@ -493,10 +493,8 @@
         let Some(job) = self.jobs.get_mut(&id).filter(|j| !j.over) else { return };
         job.over = true;
         let tally = &mut self.classes[job.spec.class];
-        tally.asked += 1.0;
-        tally.counts.over += 1;
-        tally.counts.in_time += u64::from(in_time);
-        tally.in_time += f64::from(u8::from(in_time));
+        tally.counts.count(in_time);
+        (tally.asked, tally.in_time) = (tally.asked + 1.0, tally.in_time + f64::from(u8::from(in_time)));
         self.fleet.price *= if in_time { PRICE_DOWN } else { 1.0 };
         let out_still = (0..).zip(&job.attempts).filter(|(_, a)| a.outcome.is_none());
         let calls = out_still.map(|(attempt, _)| Action::Cancel { job: id, attempt });
@@ -663,14 +661,6 @@
         }
     }
 
-    /// The share of its capacity that a worker has for certain.
-    fn warmth(&self, w: &Worker) -> f64 {
-        let Some(started) = w.listing.started else { return 1.0 };
-        let (rules, age) = (&self.settings.rules, self.now.saturating_sub(started));
-        let warm = (age as f64 / rules.cold_for.max(1) as f64).min(1.0);
-        (rules.start_capacity + (1.0 - rules.start_capacity) * warm).clamp(warm, 1.0)
-    }
-
     /// A cold worker is spaced by this dispatcher's part of what it stands: all together don't push it over.
     fn cold_ok(&self, job: &Job, w: &Worker) -> bool {
         let (rules, share) = (&self.settings.rules, self.warmth(w));
@@ -857,7 +847,8 @@
             let (room, pace) = (self.kind(w).slots() - w.own() - others, w.pace());
             let known = fresh + (1.0 - fresh) / f64::from(self.settings.dispatchers);
             let price = self.price(w, idle);
-            (room >= 1.0 - ROOM_SLACK).then_some(Candidate { id: *id, room, pace, known, price })
+            let bound = self.settings.classes.iter().any(|c| c.kind == Some(w.listing.kind));
+            (room >= 1.0 - ROOM_SLACK).then_some(Candidate { id: *id, room, pace, known, price, bound })
         };
         ids.iter().filter_map(candidate).collect()
     }
@@ -905,13 +896,13 @@
         let waited = self.now.saturating_sub(job.came) as f64;
         let whole = job.start_by.saturating_sub(job.came).max(1) as f64;
         let hurry = (HURRY * waited / whole).min(1.0);
-        let headroom = self.fleet.terms.as_ref().map_or(0.0, |t| t.class(job.spec.class).headroom);
-        let need = (slots * (1.0 - hurry)).max(1.0) - ROOM_SLACK + headroom;
+        let need = (slots * (1.0 - hurry)).max(1.0) - ROOM_SLACK;
+        let headroom = self.headroom(job.spec.class);
+        let fits = |c: &&Candidate| c.room >= need + if c.bound { headroom } else { 0.0 };
         let rank = |c: &Candidate| job.homes.iter().position(|h| *h == c.id).unwrap_or(job.homes.len());
         let away = waited > AWAY * self.mean_run();
         let weight = |c: &&Candidate| c.room * c.pace * KIN.powi(-(rank(c) as i32));
-        let mut open: Vec<_> =
-            candidates.iter().filter(|c| c.room >= need && (away || rank(c) < HOMES)).collect();
+        let mut open: Vec<_> = candidates.iter().filter(fits).filter(|c| away || rank(c) < HOMES).collect();
         // To fetch what a job needs takes longer than any way to where it is kept.
         let price = |c: &Candidate| if job.homes.is_empty() { c.price } else { 0.0 };
         open.sort_by(|a, b| price(a).total_cmp(&price(b)));
@@ -961,14 +952,18 @@
         }
     }
 
+    /// How long what is held there would take at the pace at which own jobs are taken.
+    fn wait<'a>(&self, held: impl Iterator<Item = (&'a Lane, &'a VecDeque<JobId>)>) -> f64 {
+        self.work(held) / self.fleet.own.max(self.fleet.ready.len() as f64).max(1.0)
+    }
+
     /// A late job brings too little beside what is held, or what goes before it would outlast its time.
     fn given_up(&self, job: &Job) -> bool {
         let Some(lane) = job.held.map(|l| Lane { late: true, ..l }) else { return false };
         let gain = self.gain(&lane);
         let best = self.held.keys().map(|l| self.gain(l)).fold(0.0, f64::max);
         let before = self.held.iter().filter(|(l, _)| **l != lane && self.gain(l) >= gain);
-        let work = before.map(|(l, q)| f64::from(l.slots) * q.len() as f64 * self.classes[l.class].run);
-        let wait = work.sum::<f64>() / self.fleet.own.max(self.fleet.ready.len() as f64).max(1.0);
+        let wait = self.wait(before);
         let done = self.now + span(wait + LAST * self.classes[lane.class].run);
         gain == 0.0 || gain < best * self.fleet.price && wait > 0.0 || done > job.spec.expires
     }
--- a/crates/decide/src/terms.rs
+++ b/crates/decide/src/terms.rs
@@ -21,7 +21,8 @@
 
     /// The level in force does not take it.
     pub(super) fn turns_away(&mut self, spec: &JobSpec) -> bool {
-        let Some(terms) = self.fleet.terms.as_ref() else { return false };
+        let pressed = |t: &&Arc<Terms>| self.wait(self.held.iter()) >= t.above as f64;
+        let Some(terms) = self.fleet.terms.as_ref().filter(pressed) else { return false };
         let (class, tally) = (terms.class(spec.class), &mut self.classes[spec.class]);
         tally.credit = (tally.credit + class.admit).min(1.0);
         let taken = tally.credit >= 1.0 && spec.slots <= class.largest && self.jobs.len() <= terms.open;
@@ -37,20 +38,26 @@
         self.finish(id, out);
     }
 
+    /// Slots that a job of the class leaves free at a worker that another class is bound to.
+    pub(super) fn headroom(&self, class: usize) -> f64 {
+        let terms = self.fleet.terms.as_ref().filter(|_| self.settings.classes[class].kind.is_none());
+        terms.map_or(0.0, |t| t.class(class).headroom)
+    }
+
+    fn hold_bound(&self, class: usize) -> Option<Micros> {
+        self.fleet.terms.as_ref()?.class(class).hold
+    }
+
     pub(super) fn bound_hold(&mut self, id: JobId, class: usize) {
-        if let Some(hold) = self.fleet.terms.as_ref().and_then(|t| t.class(class).hold) {
-            self.clock.timers.push(Reverse((self.now + hold.max(1), Timer::Unplaced(id))));
-        }
+        let at = self.hold_bound(class).map(|hold| self.now + hold.max(1));
+        self.clock.timers.extend(at.map(|at| Reverse((at, Timer::Unplaced(id)))));
     }
 
     /// The level in force has it wait for a place no longer, unless it was sent before.
     pub(super) fn on_unplaced(&mut self, id: JobId, out: &mut Vec<Action>) {
-        let Some(job) = self.jobs.get(&id).filter(|j| j.held.is_some() && j.attempts.is_empty()) else {
-            return;
-        };
-        let class = job.spec.class;
-        let hold = self.fleet.terms.as_ref().and_then(|t| t.class(class).hold);
-        if hold.is_some_and(|hold| self.now >= job.came + hold) {
+        let waits = self.jobs.get(&id).filter(|j| j.held.is_some() && j.attempts.is_empty());
+        let Some((class, came)) = waits.map(|j| (j.spec.class, j.came)) else { return };
+        if self.hold_bound(class).is_some_and(|hold| self.now >= came + hold) {
             self.classes[class].counts.turned_away += 1;
             self.turn_away(id, class, out);
         }
--- /dev/null
+++ b/crates/fordrelay/src/lib.rs
@@ -0,0 +1,112 @@
+//! The dispatcher as a program: its command line, start, readiness, reload and stop.
+
+mod commands;
+pub mod lifecycle;
+mod log;
+mod peers;
+mod usage;
+
+use bpaf::{construct, long, positional, OptionParser, Parser};
+use commands::{Force, LevelsArgs};
+use lifecycle::Files;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::process::ExitCode;
+use std::time::Duration;
+
+#[derive(Debug, Clone)]
+enum Command {
+    Serve(Files),
+    Check(Files, bool),
+    Levels(LevelsArgs),
+    Version,
+}
+
+fn files() -> impl Parser<Files> {
+    let config = long("config")
+        .help("The platform's configuration; the file that ROUTER_CONFIG names if it is not given")
+        .argument::<PathBuf>("FILE")
+        .optional();
+    let operator = long("operator")
+        .help("The operators' file, as in deploy/fordrelay.hcl")
+        .argument::<PathBuf>("FILE")
+        .optional();
+    construct!(Files { config, operator })
+}
+
+fn admin() -> impl Parser<SocketAddr> {
+    long("admin").help("Where the dispatcher answers operators: admin.listen in its file").argument("ADDR")
+}
+
+fn force() -> impl Parser<LevelsArgs> {
+    let wanted = positional::<String>("NAME")
+        .help("A level, 'full' for full service, or 'auto' for what the figures say");
+    let span = long("for")
+        .help("For how long, as in '10m' or '90s'; ten minutes if it is not given")
+        .argument::<String>("SPAN")
+        .parse(|text| humantime::parse_duration(&text))
+        .fallback(Duration::from_secs(600));
+    let admin = admin();
+    construct!(Force { admin, span, wanted })
+        .map(LevelsArgs::Force)
+        .to_options()
+        .descr("Has a level in force for some time, whatever the figures say")
+        .command("force")
+}
+
+fn levels() -> impl Parser<LevelsArgs> {
+    let explain = long("explain").help("Print the conditions of the files in words").req_flag(());
+    let files = files();
+    let explain = construct!(explain, files).map(|((), files)| LevelsArgs::Explain(files));
+    let json = long("json").help("Print JSON").switch();
+    let watch = long("watch").help("Go on, a line for each change").switch();
+    let admin = admin();
+    let show = construct!(LevelsArgs::Show { admin, watch, json });
+    let force = force();
+    construct!([force, explain, show])
+}
+
+fn command() -> OptionParser<Command> {
+    let serve = files()
+        .map(Command::Serve)
+        .to_options()
+        .descr("Serves until SIGTERM, and answers all that it has taken before it ends")
+        .command("serve");
+    let json = long("json").help("Print JSON").switch();
+    let files = files();
+    let check = construct!(files, json)
+        .map(|(files, json)| Command::Check(files, json))
+        .to_options()
+        .descr("Reads both files and prints what is in force, defaults included, or the first fault")
+        .command("check");
+    let levels = levels()
+        .map(Command::Levels)
+        .to_options()
+        .descr("Shows, explains or forces the level of service")
+        .command("levels");
+    let version = bpaf::pure(Command::Version).to_options().descr("Prints the version").command("version");
+    construct!([serve, check, levels, version])
+        .to_options()
+        .descr("A dispatcher that pushes jobs to targets, paced by responsive back-off")
+        .footer("FORDRELAY_LOG overrules what is logged, as in 'debug' or 'info,http1=debug'")
+}
+
+/// The program: does what its command line asks.
+pub fn run() -> ExitCode {
+    let result = match command().run() {
+        Command::Serve(files) => lifecycle::serve(&files).map_err(Into::into),
+        Command::Check(files, json) => commands::check(&files, json),
+        Command::Levels(args) => commands::levels(args),
+        Command::Version => {
+            println!("fordrelay {}", env!("CARGO_PKG_VERSION"));
+            Ok(())
+        }
+    };
+    match result {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("fordrelay: {error}");
+            ExitCode::FAILURE
+        }
+    }
+}
--- a/crates/lab/src/engine.rs
+++ b/crates/lab/src/engine.rs
@@ -324,7 +324,9 @@
         while self.pressed.front().is_some_and(|(at, _)| at + window < now) {
             self.pressed.pop_front();
         }
-        self.pressed.push_back((now, task.slots * task.work as f64));
+        // What one job can load it with in the window: nobody is told how long it runs.
+        let work = (task.work as f64).min(window as f64 * self.shape.speed);
+        self.pressed.push_back((now, task.slots * work));
         let stands = self.shape.cores * self.shape.speed * warmth * window as f64 * self.shape.tip_multiple;
         self.pressed.iter().map(|(_, work)| work).sum::<f64>() > stands
     }
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -2,7 +2,12 @@
 //! rules, a model of the whole in virtual time, and experiments. Nothing here is part of the program.
 
 pub mod checker;
+pub mod dispatcher;
 pub mod engine;
+pub mod fleet;
+pub mod load;
 pub mod model;
 pub mod scenario;
+pub mod sockets;
 pub mod swings;
+pub mod up;
--- /dev/null
+++ b/crates/lab/src/load.rs
@@ -0,0 +1,179 @@
+//! Clients on sockets: they submit, wait, try again when they are told that it is harmless, and some leave.
+
+use crate::checker::Reply;
+use crate::fleet::{JobBody, World};
+use crate::scenario::Arrival;
+use api::Micros;
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full};
+use hyper::client::conn::http1::{self, SendRequest};
+use hyper::{Request, StatusCode};
+use hyper_util::rt::TokioIo;
+use std::cell::{Cell, RefCell};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::net::TcpStream;
+use tokio::task::{spawn_local, JoinSet};
+use tokio::time::sleep_until;
+
+/// How long a client waits before it asks again where it was told nothing.
+const RETRY: Micros = 100_000;
+/// How much longer than its deadline a client listens: what comes then is a broken rule.
+const LISTEN: Duration = Duration::from_millis(500);
+
+/// All clients of one run.
+pub struct Clients {
+    world: Rc<World>,
+    /// Where each dispatcher listens.
+    dispatchers: Vec<SocketAddr>,
+    /// Kept connections, by dispatcher.
+    kept: Vec<RefCell<Vec<SendRequest<Full<Bytes>>>>>,
+    next_try: Cell<u64>,
+    /// How late the latest client asked: a machine that is too busy shows here.
+    latest: Cell<Micros>,
+}
+
+/// How one request ended.
+enum Ended {
+    Answered(StatusCode, Option<Micros>),
+    Broken,
+}
+
+impl Clients {
+    /// Clients of dispatchers at these addresses.
+    pub fn new(world: Rc<World>, dispatchers: Vec<SocketAddr>) -> Rc<Self> {
+        let kept = dispatchers.iter().map(|_| RefCell::default()).collect();
+        Rc::new(Clients { world, dispatchers, kept, next_try: Cell::new(0), latest: Cell::new(0) })
+    }
+
+    /// How late the latest client asked.
+    pub fn latest(&self) -> Micros {
+        self.latest.get()
+    }
+
+    /// Plays all arrivals, and waits for the last answer.
+    pub async fn play(self: &Rc<Self>, arrivals: Vec<Arrival>) {
+        let mut open = JoinSet::new();
+        for (job, arrival) in (0..).zip(arrivals) {
+            sleep_until(self.world.at(arrival.at)).await;
+            let late = self.world.now().saturating_sub(arrival.at);
+            self.latest.set(self.latest.get().max(late));
+            open.spawn_local(Rc::clone(self).job(job, arrival));
+            while open.try_join_next().is_some() {}
+        }
+        while open.join_next().await.is_some() {}
+    }
+
+    /// One job, with all its tries.
+    async fn job(self: Rc<Self>, job: u64, arrival: Arrival) {
+        self.world.checker.borrow_mut().asked(&arrival);
+        let terms = &self.world.scenario.classes[arrival.class];
+        let deadline = arrival.at + terms.give_up;
+        let leaves = arrival.leaves.map_or(deadline, |after| arrival.at + after);
+        for tries in 0..=self.world.scenario.habits.retries {
+            let now = self.world.now();
+            if now + 1_000 >= deadline.min(leaves) {
+                return;
+            }
+            let id = self.next_try.get() + 1;
+            self.next_try.set(id);
+            self.world.checker.borrow_mut().taken(id, arrival.class, deadline);
+            let dispatcher = (arrival.dispatcher + tries) as usize % self.dispatchers.len();
+            let answer = tokio::select! {
+                biased;
+                answer = self.ask(dispatcher, id, job, &arrival, deadline) => answer,
+                () = sleep_until(self.world.at(leaves)), if arrival.leaves.is_some() => {
+                    return self.world.checker.borrow_mut().left(id);
+                }
+                () = sleep_until(self.world.at(deadline) + LISTEN) => {
+                    // It stays open with the checker, which counts it as lost.
+                    return;
+                }
+            };
+            let now = self.world.now();
+            let Some(wait) = self.note(now, id, &arrival, answer) else { return };
+            sleep_until(self.world.at(now + wait)).await;
+        }
+    }
+
+    /// Notes how a try ended. When to try again, if that is harmless.
+    fn note(&self, now: Micros, id: u64, arrival: &Arrival, answer: Ended) -> Option<Micros> {
+        let mut checker = self.world.checker.borrow_mut();
+        let (reply, wait) = match answer {
+            Ended::Answered(StatusCode::OK, _) => (Reply::Served, None),
+            Ended::Answered(StatusCode::SERVICE_UNAVAILABLE | StatusCode::TOO_MANY_REQUESTS, wait) => {
+                (Reply::Refused, Some(wait.unwrap_or(RETRY)))
+            }
+            Ended::Answered(..) => (Reply::Failed, None),
+            Ended::Broken => {
+                checker.other(now, &format!("try {id} lost its connection before an answer"));
+                checker.left(id);
+                return None;
+            }
+        };
+        checker.answered(now, id, reply, arrival.at, arrival.work);
+        wait
+    }
+
+    /// One request; a kept connection that was closed meanwhile is no answer, and it is sent on a new one.
+    async fn ask(&self, dispatcher: usize, id: u64, job: u64, arrival: &Arrival, deadline: Micros) -> Ended {
+        let kept = self.kept[dispatcher].borrow_mut().pop();
+        if let Some(sender) = kept.filter(|s| !s.is_closed()) {
+            match self.exchange(sender, dispatcher, id, job, arrival, deadline).await {
+                Ok(ended) => return ended,
+                Err(e) if e.is_canceled() || e.is_closed() || e.is_incomplete_message() => {}
+                Err(_) => return Ended::Broken,
+            }
+        }
+        let Ok(stream) = TcpStream::connect(self.dispatchers[dispatcher]).await else { return Ended::Broken };
+        let _ = stream.set_nodelay(true);
+        let Ok((sender, conn)) = http1::handshake(TokioIo::new(stream)).await else { return Ended::Broken };
+        spawn_local(async move {
+            let _ = conn.await;
+        });
+        self.exchange(sender, dispatcher, id, job, arrival, deadline).await.unwrap_or(Ended::Broken)
+    }
+
+    async fn exchange(
+        &self,
+        mut sender: SendRequest<Full<Bytes>>,
+        dispatcher: usize,
+        id: u64,
+        job: u64,
+        arrival: &Arrival,
+        deadline: Micros,
+    ) -> Result<Ended, hyper::Error> {
+        sender.ready().await?;
+        let response = sender.send_request(self.request(id, job, arrival, deadline)).await?;
+        let status = response.status();
+        let wait = response.headers().get("retry-after").and_then(|v| v.to_str().ok()?.parse::<f64>().ok());
+        let closes = response.headers().get("connection").is_some_and(|v| v.as_bytes() == b"close");
+        response.into_body().collect().await?;
+        if !closes {
+            self.kept[dispatcher].borrow_mut().push(sender);
+        }
+        Ok(Ended::Answered(status, wait.map(|s| (s * 1.0e6) as Micros)))
+    }
+
+    fn request(&self, id: u64, job: u64, arrival: &Arrival, deadline: Micros) -> Request<Full<Bytes>> {
+        let terms = &self.world.scenario.classes[arrival.class];
+        let body =
+            JobBody { job, class: arrival.class, slots: arrival.slots, work: arrival.work, key: arrival.key };
+        let wait = deadline.saturating_sub(self.world.now()) as f64 / 1.0e6;
+        let path = arrival.key.map_or("/api".to_owned(), |key| format!("/api?sid={key:x}"));
+        let request = Request::post(path)
+            .header("host", "lab")
+            .header("req-id", format!("{id:x}"))
+            .header("req-kind", terms.name)
+            .header("req-deadline", format!("{wait:.3}"))
+            .header("req-extra", format!("slots={}", arrival.slots));
+        let request = if terms.effect == "token" {
+            request.header("idempotency-key", format!("{job:x}"))
+        } else {
+            request
+        };
+        let text = serde_json::to_vec(&body).unwrap_or_default();
+        request.body(Full::new(Bytes::from(text))).unwrap_or_default()
+    }
+}
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -1,8 +1,10 @@
 //! The command line of the lab.
 
 use bpaf::{construct, long, OptionParser, Parser};
+use fordrelay::lifecycle::{self, Files};
 use lab::swings::Swings;
-use settings::operator::Operator;
+use lab::up::{self, Terms};
+use settings::operator::{Operator, Source};
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 use std::sync::Arc;
@@ -21,21 +23,60 @@
     count: u64,
     seeds: u64,
     only: Option<bool>,
+    lanes: usize,
+    logs: PathBuf,
     json: Option<String>,
 }
 
 #[derive(Debug, Clone)]
 enum Command {
     Swings(SwingsArgs),
+    Up(UpArgs),
+    /// The program itself, as a process of its own.
+    Dispatcher(Files),
+}
+
+#[derive(Debug, Clone)]
+struct UpArgs {
+    operator: PathBuf,
+    boxes: usize,
+    load: f64,
+    seconds: Option<u64>,
+    logs: PathBuf,
+}
+
+fn operator() -> impl Parser<PathBuf> {
+    long("operator")
+        .help("The operators' file, without a block admin; deploy/fordrelay.hcl if it is not given")
+        .argument::<PathBuf>("FILE")
+        .fallback("deploy/fordrelay.hcl".into())
+}
+
+fn boxes() -> impl Parser<usize> {
+    long("boxes").help("Engine boxes").argument::<usize>("N").fallback(8)
+}
+
+fn logs() -> impl Parser<PathBuf> {
+    long("logs")
+        .help("Where the dispatchers' files and logs go")
+        .argument::<PathBuf>("FOLDER")
+        .fallback(std::env::temp_dir().join(format!("fordrelay-lab-{}", std::process::id())))
+}
+
+fn up() -> impl Parser<UpArgs> {
+    let (operator, boxes, logs) = (operator(), boxes(), logs());
+    let load = long("load")
+        .help("What clients ask for, as a share of capacity; 0.7 if it is not given")
+        .argument::<f64>("SHARE")
+        .fallback(0.7);
+    let seconds = long("seconds").help("End by itself after so long").argument::<u64>("S").optional();
+    construct!(UpArgs { operator, boxes, load, seconds, logs })
 }
 
 fn swings() -> impl Parser<SwingsArgs> {
     let model = long("model").help("In virtual time instead of on sockets").switch();
-    let operator = long("operator")
-        .help("The operators' file whose levels are tried")
-        .argument::<PathBuf>("FILE")
-        .fallback("deploy/fordrelay.hcl".into());
-    let boxes = long("boxes").help("Engine boxes").argument::<usize>("N").fallback(8);
+    let (operator, boxes, logs) = (operator(), boxes(), logs());
+    let lanes = long("lanes").help("On sockets: runs at a time").argument::<usize>("N").fallback(1);
     let dispatchers = long("dispatchers").help("Dispatchers before them").argument::<u32>("N").fallback(2);
     let low = long("low")
         .help("Load in the lower half of a swing, as a share of capacity")
@@ -62,7 +103,9 @@
         count,
         seeds,
         only,
-        json
+        lanes,
+        logs,
+        json,
     })
 }
 
@@ -72,12 +115,26 @@
         .to_options()
         .descr("Load in swings, with levels of reduced service and without, on the same arrivals")
         .command("swings");
-    construct!([swings]).to_options().descr("What fordrelay is tried with")
+    let up = up()
+        .map(Command::Up)
+        .to_options()
+        .descr("Starts a stand-in fleet and one dispatcher on loopback ports, until Ctrl-C")
+        .command("up");
+    let config = long("config").argument::<PathBuf>("FILE").optional();
+    let operator = long("operator").argument::<PathBuf>("FILE").optional();
+    let dispatcher = construct!(Files { config, operator })
+        .map(Command::Dispatcher)
+        .to_options()
+        .descr("The dispatcher itself, as 'fordrelay serve'")
+        .command("dispatcher");
+    construct!([up, swings, dispatcher]).to_options().descr("What fordrelay is tried with")
 }
 
 fn main() -> ExitCode {
     let result = match command().run() {
         Command::Swings(args) => run_swings(&args),
+        Command::Up(args) => run_up(&args),
+        Command::Dispatcher(files) => lifecycle::serve(&files).map_err(Into::into),
     };
     match result {
         Ok(()) => ExitCode::SUCCESS,
@@ -88,6 +145,22 @@
     }
 }
 
+/// The operators' file, which must leave the listener to this program.
+fn read(path: &Path) -> Result<(String, Operator, Source), Failure> {
+    let text = std::fs::read_to_string(path).map_err(|e| format!("can't read {}: {e}", path.display()))?;
+    let (operator, source) = Operator::parse(path, &text)?;
+    if operator.admin.is_some() {
+        return Err(source.fault("admin", "is set by the lab itself: leave it out here").into());
+    }
+    Ok((text, operator, source))
+}
+
+fn run_up(args: &UpArgs) -> Result<(), Failure> {
+    let (text, ..) = read(&args.operator)?;
+    let terms = Terms { boxes: args.boxes, load: args.load, seconds: args.seconds };
+    Ok(up::up(&terms, &text, &args.logs)?)
+}
+
 fn run_swings(args: &SwingsArgs) -> Result<(), Failure> {
     let swings = Swings {
         boxes: args.boxes,
@@ -99,10 +172,13 @@
         seeds: (1..=args.seeds).collect(),
     };
     let classes: Vec<String> = swings.scenario(0, false).classes.iter().map(|c| c.name.to_owned()).collect();
-    let (operator, source) = Operator::load(Path::new(&args.operator))?;
+    let (text, operator, source) = read(&args.operator)?;
     let spec = operator.spec(&classes, &source)?.ok_or("the operators' file sets no levels")?;
     let conditions = args.only.map_or(vec![false, true], |only| vec![only]);
-    let summary = swings.model(&Arc::new(spec), &conditions)?;
+    let summary = match args.model {
+        true => swings.model(&Arc::new(spec), &conditions)?,
+        false => swings.sockets(&text, &conditions, args.lanes, &args.logs)?,
+    };
     match args.json.as_deref() {
         None => print!("{summary}"),
         Some("-") => println!("{}", serde_json::to_string_pretty(&summary)?),
--- a/crates/lab/src/model.rs
+++ b/crates/lab/src/model.rs
@@ -6,7 +6,7 @@
 use crate::scenario::{name, Addresses, Arrival, Fault, Scenario, SECOND};
 use api::{JobId, JobSpec, ListKind, LoadReport, Micros, Outcome, Status};
 use bytes::Bytes;
-use levels::Spec;
+use levels::{Readings, Spec};
 use rand::Rng;
 use rand_pcg::rand_core::SeedableRng;
 use rand_pcg::Pcg64Mcg;
@@ -35,6 +35,21 @@
     pub changes: Vec<LevelChange>,
     /// Inputs that the reducers took.
     pub inputs: u64,
+    /// What the levels read, each second at each dispatcher.
+    pub samples: Vec<Sample>,
+}
+
+/// What the levels of one dispatcher read at one time.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Sample {
+    /// When, from the start of the run.
+    pub at: Micros,
+    /// At which dispatcher.
+    pub dispatcher: u32,
+    /// The level in force, by rank.
+    pub rank: usize,
+    /// The readings.
+    pub readings: Readings,
 }
 
 /// One change of level.
@@ -75,6 +90,8 @@
     Fault { at: usize, fault: Fault },
     /// Discovery tells a dispatcher how a box is.
     Tell { dispatcher: usize, at: usize },
+    /// The readings are noted.
+    Sample,
     /// The operators do something at a dispatcher.
     Operators { dispatcher: usize, input: Input },
 }
@@ -127,6 +144,7 @@
     checker: Checker,
     changes: Vec<LevelChange>,
     inputs: u64,
+    samples: Vec<Sample>,
 }
 
 /// Something that the operators do at all dispatchers: when, and what.
@@ -210,7 +228,11 @@
             checker: Checker::new(&scenario.classes),
             changes: vec![],
             inputs: 0,
+            samples: vec![],
         };
+        if spec.is_some() {
+            model.later(START + SECOND, Due::Sample);
+        }
         for dispatcher in 0..model.dispatchers.len() {
             let all: Vec<_> = (0..model.boxes.len()).collect();
             let stale = model.listing(ListKind::Inherited, &all);
@@ -306,6 +328,14 @@
                 let ready = self.boxes[at].reachable() && !self.boxes[at].draining();
                 self.checker.told(self.now, at, dispatcher as u32, ready);
             }
+            Due::Sample => {
+                for (dispatcher, d) in (0..).zip(&self.dispatchers) {
+                    let Some(levels) = d.state.status().levels else { continue };
+                    let (at, rank, readings) = (self.now - START, levels.rank, levels.readings);
+                    self.samples.push(Sample { at, dispatcher, rank, readings });
+                }
+                self.later(self.now + SECOND, Due::Sample);
+            }
             Due::Operators { dispatcher, input } => self.report(dispatcher, input),
         }
     }
@@ -593,6 +623,7 @@
             broken: (count, words.to_vec()),
             changes: self.changes,
             inputs: self.inputs,
+            samples: self.samples,
         }
     }
 }
--- a/crates/lab/src/scenario.rs
+++ b/crates/lab/src/scenario.rs
@@ -288,6 +288,8 @@
                 "hard-limit-ms": ms(c.give_up), "memory-span-ms": 10_000.0, "points": c.worth,
                 "late-worth": c.late_worth, "stream": false})
         };
+        // A dispatcher that is alone sends no probes: it would learn nothing of slots.
+        let reports = if self.dispatchers > 1 { "probe" } else { "answers" };
         let kinds: Vec<i64> = self.classes.iter().map(|c| c.kind).collect();
         let stretch: Vec<f64> = self.classes.iter().map(|c| c.stretch).collect();
         let first = self.boxes.first();
@@ -306,7 +308,7 @@
                 "peers-total": self.dispatchers, "classes": self.classes.iter().map(class).collect::<Vec<_>>(),
                 "costs": {"cross-zone": 0.01, "peer": 0.011, "probe": 0.0044, "waste": 0.016},
                 "discovery": "on_request", "goal": {"whole": 0.55, "worst-class": 0.3, "worst-window": 0.15},
-                "models": self.kinds, "zones": self.zones, "report": {"names": ["x0", "concurrent"], "via": "probe"},
+                "models": self.kinds, "zones": self.zones, "report": {"names": ["x0", "concurrent"], "via": reports},
                 "rules": {"cold-ms": first.map_or(20_000.0, |b| ms(b.cold_for)), "fall-ms": 1_000.0,
                     "must-ask-in-ms": 10_000.0, "start-capacity": first.map_or(0.12, |b| b.start_capacity),
                     "stop-sending-within-ms": 250.0, "tip-multiple": first.map_or(3.0, |b| b.tip_multiple)},
--- a/crates/lab/src/swings.rs
+++ b/crates/lab/src/swings.rs
@@ -1,14 +1,17 @@
 //! Load in swings, with levels and without on the same arrivals, and what comes of it.
 
+use crate::dispatcher::DispatcherError;
 use crate::model::{self, LevelChange, Outcomes};
 use crate::scenario::{Scenario, SECOND};
+use crate::sockets;
 use api::Micros;
 use levels::Spec;
 use rayon::prelude::*;
 use serde::Serialize;
 use settings::platform::ConfigError;
-use std::collections::BTreeMap;
-use std::sync::Arc;
+use std::collections::{BTreeMap, VecDeque};
+use std::path::Path;
+use std::sync::{Arc, Mutex};
 
 /// What is played.
 #[derive(Debug, Clone)]
@@ -29,6 +32,14 @@
     pub seeds: Vec<u64>,
 }
 
+/// One of the three runs of a pair.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+enum Variant {
+    On,
+    Off,
+    Again,
+}
+
 /// The first swing begins then.
 pub const LEAD: Micros = 10 * SECOND;
 
@@ -59,6 +70,12 @@
     pub broken: Vec<String>,
     /// Every change of level.
     pub changes: Vec<Changed>,
+    /// On sockets: processor time of the dispatchers for each job, microseconds, with levels.
+    pub cpu_us_per_job_on: Option<f64>,
+    /// ... and without, over both runs.
+    pub cpu_us_per_job_off: Option<f64>,
+    /// On sockets: how late the latest client of the three runs asked, microseconds.
+    pub latest_us: Option<u64>,
 }
 
 /// One change of level, in seconds from the start of the run.
@@ -96,6 +113,10 @@
     pub in_time_off: BTreeMap<String, f64>,
     /// Broken rules.
     pub rules_broken: u64,
+    /// On sockets: processor time of the dispatchers for each job, microseconds, with levels.
+    pub cpu_us_per_job_on: Option<f64>,
+    /// ... and without.
+    pub cpu_us_per_job_off: Option<f64>,
     /// Each pair.
     pub runs: Vec<Pair>,
 }
@@ -133,6 +154,69 @@
         Ok(self.summary("model", pairs?))
     }
 
+    /// Plays all pairs on sockets, `lanes` runs at a time; their files and logs stand below `folder`. `operator` is
+    /// the text of the operators' file, without `admin`.
+    ///
+    /// # Errors
+    /// The stand-ins or the dispatchers could not be had.
+    pub fn sockets(
+        &self,
+        operator: &str,
+        quarter_dies: &[bool],
+        lanes: usize,
+        folder: &Path,
+    ) -> Result<Summary, DispatcherError> {
+        let mut waiting = VecDeque::new();
+        for dies in quarter_dies {
+            for seed in &self.seeds {
+                // On and off in turn, so that what changes on the machine meanwhile meets both.
+                waiting.extend([Variant::On, Variant::Off, Variant::Again].map(|v| (*seed, *dies, v)));
+            }
+        }
+        let (waiting, done) = (Mutex::new(waiting), Mutex::new(BTreeMap::new()));
+        let lane = || loop {
+            let next = waiting.lock().map_or(None, |mut w| w.pop_front());
+            let Some((seed, dies, variant)) = next else { return };
+            let scenario = self.scenario(seed, dies);
+            let folder = folder.join(format!("{seed}-{dies}-{variant:?}").to_lowercase());
+            let (text, draw) = match variant {
+                Variant::On => (operator, seed),
+                Variant::Off => ("", seed),
+                Variant::Again => ("", seed + 1_000_003),
+            };
+            let run = sockets::run(&scenario, text, seed, draw, &folder);
+            if let Ok(mut done) = done.lock() {
+                done.insert((dies, seed, variant), run);
+            }
+        };
+        std::thread::scope(|scope| {
+            for _ in 0..lanes.max(1) {
+                scope.spawn(lane);
+            }
+        });
+        let mut done = done.into_inner().unwrap_or_default();
+        let mut pairs = vec![];
+        for dies in quarter_dies {
+            for seed in &self.seeds {
+                let mut take = |variant| {
+                    let missing = || std::io::Error::other("a run ended without a word").into();
+                    done.remove(&(*dies, *seed, variant)).unwrap_or_else(|| Err(missing()))
+                };
+                let (on, off, again) = (take(Variant::On)?, take(Variant::Off)?, take(Variant::Again)?);
+                let jobs = on.outcomes.classes.iter().map(|c| c.asked).sum::<u64>().max(1) as f64;
+                let cpu_on = on.cpu as f64 / jobs;
+                let cpu_off = (off.cpu + again.cpu) as f64 / 2.0 / jobs;
+                let latest = on.latest.max(off.latest).max(again.latest);
+                let scenario = self.scenario(*seed, *dies);
+                let mut pair = self.pair(&scenario, *seed, *dies, on.outcomes, off.outcomes, again.outcomes);
+                (pair.cpu_us_per_job_on, pair.cpu_us_per_job_off) = (Some(cpu_on), Some(cpu_off));
+                pair.latest_us = Some(latest);
+                pairs.push(pair);
+            }
+        }
+        Ok(self.summary("sockets", pairs))
+    }
+
     /// What three runs on the same arrivals came to.
     pub fn pair(
         &self,
@@ -168,6 +252,9 @@
             rules_broken: on.broken.0 + off.broken.0 + again.broken.0,
             broken: broken.take(5).collect(),
             changes: on.changes.iter().map(changed).collect(),
+            cpu_us_per_job_on: None,
+            cpu_us_per_job_off: None,
+            latest_us: None,
         }
     }
 
@@ -204,11 +291,18 @@
             in_time_on: by_class(|r| &r.in_time_on),
             in_time_off: by_class(|r| &r.in_time_off),
             rules_broken: runs.iter().map(|r| r.rules_broken).sum(),
+            cpu_us_per_job_on: mean_of(runs.iter().filter_map(|r| r.cpu_us_per_job_on)),
+            cpu_us_per_job_off: mean_of(runs.iter().filter_map(|r| r.cpu_us_per_job_off)),
             runs,
         }
     }
 }
 
+fn mean_of(values: impl Iterator<Item = f64>) -> Option<f64> {
+    let all: Vec<f64> = values.collect();
+    (!all.is_empty()).then(|| all.iter().sum::<f64>() / all.len() as f64)
+}
+
 impl std::fmt::Display for Summary {
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
         writeln!(f, "seed  quarter  worth on  off    again  changes  in a swing  in time on/off by class")?;
--- /dev/null
+++ b/crates/lab/src/up.rs
@@ -0,0 +1,124 @@
+//! A fleet and one dispatcher to try things with, until Ctrl-C.
+
+use crate::dispatcher::{self, DispatcherError};
+use crate::fleet::{Fleet, World};
+use crate::load::Clients;
+use crate::scenario::{Fault, Scenario, SECOND};
+use std::path::Path;
+use std::rc::Rc;
+use tokio::io::{AsyncBufReadExt, BufReader};
+use tokio::task::{spawn_local, LocalSet};
+
+const HELP: &str = "kill N, start N, hang N, mend N, slow N SHARE, drain N, boxes, help, quit";
+
+/// What is started.
+#[derive(Debug, Clone)]
+pub struct Terms {
+    /// Boxes.
+    pub boxes: usize,
+    /// Load from clients, as a share of capacity; 0 for none.
+    pub load: f64,
+    /// It ends by itself after so long; none for not before Ctrl-C.
+    pub seconds: Option<u64>,
+}
+
+/// Starts it, prints what to type, does what is typed, and stops all at the end.
+///
+/// # Errors
+/// The stand-ins or the dispatcher could not be had.
+pub fn up(terms: &Terms, operator: &str, folder: &Path) -> Result<(), DispatcherError> {
+    std::fs::create_dir_all(folder)?;
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+    let done = LocalSet::new().block_on(&runtime, serve(terms, operator, folder));
+    // Standard input is read on a thread that can't be called off.
+    runtime.shutdown_background();
+    done
+}
+
+async fn serve(terms: &Terms, operator: &str, folder: &Path) -> Result<(), DispatcherError> {
+    let mut scenario = Scenario::league(terms.boxes.max(1), 1);
+    scenario.load = vec![(0, terms.load)];
+    scenario.end = terms.seconds.unwrap_or(24 * 3_600) * SECOND;
+    let world = World::new(scenario.clone());
+    let fleet = Fleet::start(Rc::clone(&world)).await?;
+    let dispatchers = dispatcher::start(&world, &fleet, folder, operator, 1).await?;
+    let Some(first) = dispatchers.first() else { return Ok(()) };
+    let (listen, admin) = (first.listen, first.admin);
+    println!(
+        "{} boxes, one dispatcher on {listen}, operators on {admin}, log {}",
+        terms.boxes,
+        first.log.display()
+    );
+    println!(
+        "clients ask for {:.0} jobs a second ({} of capacity)",
+        terms.load * scenario.capacity(),
+        terms.load
+    );
+    println!();
+    println!("a job of your own:");
+    println!("  curl -i -H 'Req-Id: ffff0001' -H 'Req-Kind: live-score' -H 'Req-Deadline: 5' \\");
+    println!(
+        "    -d '{{\"job\":0,\"class\":0,\"slots\":1,\"work\":200000,\"key\":null}}' http://{listen}/api"
+    );
+    println!("the level of service, and its changes as they come:");
+    println!("  target/release/fordrelay levels --admin {admin} --watch");
+    println!("or, without the program at hand:  curl http://{admin}/levels  curl http://{admin}/metrics");
+    println!("here, a line at a time: {HELP}");
+    let mut arrivals = if terms.load > 0.0 { scenario.arrivals(1) } else { vec![] };
+    let began = world.now();
+    arrivals.iter_mut().for_each(|a| a.at += began);
+    let clients = Clients::new(Rc::clone(&world), vec![listen]);
+    spawn_local(async move { clients.play(arrivals).await });
+    let ends = tokio::time::sleep(std::time::Duration::from_secs(terms.seconds.unwrap_or(24 * 3_600)));
+    tokio::select! {
+        _ = tokio::signal::ctrl_c() => {}
+        () = ends => {}
+        () = obey(&world, &fleet) => {}
+    }
+    println!("stopping");
+    for dispatcher in dispatchers {
+        dispatcher.stop().await?;
+    }
+    let checker = world.checker.borrow();
+    for (class, score) in scenario.classes.iter().zip(checker.scores()) {
+        println!("{}: {} asked, {:.3} in time", class.name, score.asked, score.share());
+    }
+    let (count, words) = checker.broken();
+    println!("rules broken: {count}");
+    words.iter().for_each(|word| println!("  {word}"));
+    Ok(())
+}
+
+/// Does what is typed, until it is to quit. The end of the input is none: nobody may be typing.
+async fn obey(world: &Rc<World>, fleet: &Rc<Fleet>) {
+    let mut lines = BufReader::new(tokio::io::stdin()).lines();
+    while let Ok(Some(line)) = lines.next_line().await {
+        let words: Vec<&str> = line.split_ascii_whitespace().collect();
+        let number = words.get(1).and_then(|n| n.parse::<usize>().ok());
+        let fault = match (words.first().copied(), number) {
+            (Some("quit"), _) => return,
+            (Some("boxes"), _) => {
+                print!("{}", fleet.show());
+                continue;
+            }
+            (Some("kill"), Some(_)) => Fault::Kill,
+            (Some("start"), Some(_)) => Fault::Start,
+            (Some("hang"), Some(_)) => Fault::Hang,
+            (Some("mend"), Some(_)) => Fault::Mend,
+            (Some("drain"), Some(_)) => Fault::Drain,
+            (Some("slow"), Some(_)) => {
+                Fault::Slow(words.get(2).and_then(|s| s.parse::<f64>().ok()).unwrap_or(0.5).clamp(0.0, 1.0))
+            }
+            (None, _) => continue,
+            _ => {
+                println!("{HELP}");
+                continue;
+            }
+        };
+        match fleet.suffer(number.unwrap_or(0), fault).await {
+            Ok(()) => println!("{:.1} s: {line}", world.now() as f64 / 1.0e6),
+            Err(e) => println!("{e}"),
+        }
+    }
+    std::future::pending().await
+}
--- a/crates/levels/src/gauges.rs
+++ b/crates/levels/src/gauges.rs
@@ -125,7 +125,7 @@
             share(counts.refused.saturating_sub(since.refused), counts.sent.saturating_sub(since.sent))
         };
         Readings {
-            wait: figures.held / part / 1_000.0,
+            wait: figures.held.max(0.0) / part / 1_000.0,
             lost,
             late: (0..counts.classes.len()).map(|c| (late(c, short_ago), late(c, &long_ago))).collect(),
             refused: (refused(short_ago), refused(&long_ago)),
--- a/crates/levels/src/ladder.rs
+++ b/crates/levels/src/ladder.rs
@@ -211,9 +211,11 @@
             if level <= self.level || now < since + at.enter_for {
                 continue;
             }
-            // A severer level than the next one is entered only for what vanishes at once.
+            // A severer level than the next one is entered only for what vanishes at once. Else the level that
+            // holds must have had its own time to help: what came before it says nothing against it.
             let sudden = at.enter.sudden().find(|bound| reached(bound));
-            let near = level == self.level + 1 && now >= self.stepped + spec.step;
+            let helped = self.level == 0 || now >= self.stepped + spec.step.max(at.enter_for);
+            let near = level == self.level + 1 && helped;
             if let Some((gauge, bound)) = sudden.copied().or(near.then_some((gauge, bound))) {
                 step = Some((level, gauge, bound));
             }
--- a/crates/levels/src/spec.rs
+++ b/crates/levels/src/spec.rs
@@ -261,7 +261,10 @@
                         asks.push(format!("turned away unless sent within {} s", seconds(hold)));
                     }
                     if terms.headroom > 0.0 {
-                        asks.push(format!("only to targets that keep {} slots free beside", terms.headroom));
+                        asks.push(format!(
+                            "{} slots left free where another class is bound to",
+                            terms.headroom
+                        ));
                     }
                     if terms.attempts < u32::MAX {
                         asks.push(format!("{} attempt(s) each", terms.attempts));
@@ -270,6 +273,10 @@
                 let asks = if asks.is_empty() { "as at full service".into() } else { asks.join("; ") };
                 writeln!(f, "  {name}: {asks}")?;
             }
+            if level.terms.above > 0 {
+                let wait = seconds(level.terms.above);
+                writeln!(f, "  new jobs are turned away only while held work would take {wait} s or more")?;
+            }
             if level.terms.open < usize::MAX {
                 writeln!(f, "  no more than {} flows are open together", level.terms.open)?;
             }
--- a/crates/settings/src/operator.rs
+++ b/crates/settings/src/operator.rs
@@ -117,7 +117,7 @@
             short_ms: 2_000,
             long_ms: 8_000,
             least_answers: 20,
-            step_ms: 2_000,
+            step_ms: 12_000,
             relapse_ms: 60_000,
             forgive_ms: 300_000,
             hold_most_ms: 120_000,
@@ -141,6 +141,9 @@
     /// Flows that may be open together.
     #[serde(skip_serializing_if = "Option::is_none")]
     pub open_flows: Option<usize>,
+    /// Nothing new is turned away while held work would take less than this; 0, and it always is.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub while_wait_ms: Option<u64>,
     /// Advice to those turned away, before it is spread from half to one and a half times.
     #[serde(skip_serializing_if = "Option::is_none")]
     pub retry_after_ms: Option<u64>,
@@ -150,7 +153,7 @@
 #[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields, default)]
 pub struct BoundsBlock {
-    /// For so long without a break; 500 to enter and 12000 to leave where it is not given.
+    /// For so long without a break; 500 to enter and 22000 to leave where it is not given.
     #[serde(skip_serializing_if = "Option::is_none")]
     pub for_ms: Option<u64>,
     /// Held work, as a wait.
@@ -396,7 +399,7 @@
 }
 
 const ENTER_FOR_MS: u64 = 500;
-const LEAVE_FOR_MS: u64 = 12_000;
+const LEAVE_FOR_MS: u64 = 22_000;
 /// A bound for leaving that is not given, as a share of the one for entering.
 const LEAVE_SHARE: f64 = 0.5;
 const RETRY_AFTER_MS: u64 = 1_000;
@@ -454,6 +457,7 @@
             terms: Terms {
                 classes: terms,
                 open: self.open_flows.unwrap_or(usize::MAX),
+                above: micros(self.while_wait_ms.unwrap_or(0)),
                 retry_after: micros(self.retry_after_ms.unwrap_or(RETRY_AFTER_MS)),
             },
         })
