Make the reducer's setup in one place, for the program and the model alike

Need: the program and the model in virtual time each made a setup out of a configuration, line for line.

Change: Config::setup does. The checker's unused job number at a send is gone; one comment said another thing.

--- a/crates/fordrelay/src/lifecycle.rs
+++ b/crates/fordrelay/src/lifecycle.rs
@@ -9,7 +9,7 @@
 use http1::{Listener, Phase, Terms};
 use settings::operator::{Operator, OperatorError};
 use settings::platform::{Config, ConfigError};
-use state::{ConnId, Input, Setup, State};
+use state::{ConnId, Input, State};
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::rc::Rc;
@@ -171,16 +171,7 @@
     let clock = Clock::start();
     let give_up: Vec<_> = config.settings.classes.iter().map(|c| c.give_up).collect();
     let longest = Duration::from_micros(give_up.iter().copied().max().unwrap_or(0));
-    let state = State::new(Setup {
-        settings: config.settings,
-        seed: config.seed,
-        me: config.me,
-        connections: config.target_connections,
-        connect_timeout: config.connect_timeout,
-        idle: config.idle,
-        probe_timeout: config.probe_timeout,
-        levels,
-    })?;
+    let state = State::new(config.setup(levels))?;
     let bounds = Bounds { flows: config.open_flows, bytes: config.flow_bytes };
     let (desk, inputs) = Desk::new(clock, config.reports, bounds);
     let peers = match config.peers {
--- a/crates/lab/src/checker.rs
+++ b/crates/lab/src/checker.rs
@@ -98,8 +98,8 @@
         self.tries.insert(id, Open { class, deadline, out: None, exposed: false, answered: false });
     }
 
-    /// An attempt of a try reached a box. `job` is the same for all tries of one job.
-    pub fn sent(&mut self, now: Micros, id: u64, job: u64, attempt: u64, at: usize, dispatcher: u32) {
+    /// An attempt of a try reached a box.
+    pub fn sent(&mut self, now: Micros, id: u64, attempt: u64, at: usize, dispatcher: u32) {
         if let Some(told) = self.shut.get(&(at, dispatcher)).filter(|told| now > **told + DRAIN_WITHIN) {
             let late = now - told;
             self.broke(
@@ -118,7 +118,6 @@
         if repeats {
             self.broke(now, format!("try {id} may have run and must not run twice, and was sent again"));
         }
-        let _ = job;
     }
 
     /// A box began to run an attempt.
--- a/crates/lab/src/fleet.rs
+++ b/crates/lab/src/fleet.rs
@@ -269,7 +269,7 @@
             key: body.key,
         };
         let now = self.world.now();
-        self.world.checker.borrow_mut().sent(now, try_id, body.job, number, self.number, dispatcher);
+        self.world.checker.borrow_mut().sent(now, try_id, number, self.number, dispatcher);
         let (lines, receiver) = mpsc::unbounded_channel();
         self.waiters.borrow_mut().insert(number, Waiter { lines, id, try_id, job: body.job });
         let (words, fell) = {
--- a/crates/lab/src/model.rs
+++ b/crates/lab/src/model.rs
@@ -11,7 +11,7 @@
 use rand_pcg::rand_core::SeedableRng;
 use rand_pcg::Pcg64Mcg;
 use settings::platform::{Config, ConfigError};
-use state::{reduce, Answer, ConnId, Effect, Input, Listed, Setup, State};
+use state::{reduce, Answer, ConnId, Effect, Input, Listed, State};
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BinaryHeap};
 use std::net::SocketAddr;
@@ -189,17 +189,7 @@
         for n in 0..scenario.dispatchers {
             let config =
                 Config::parse(&scenario.config(n, &addrs, mixed.wrapping_mul(31) + u64::from(n)), |_| None)?;
-            let setup = Setup {
-                settings: config.settings,
-                seed: config.seed,
-                me: config.me,
-                connections: config.target_connections,
-                connect_timeout: config.connect_timeout,
-                idle: config.idle,
-                probe_timeout: config.probe_timeout,
-                levels: spec.cloned(),
-            };
-            let state = State::new(setup)
+            let state = State::new(config.setup(spec.cloned()))
                 .map_err(|e| ConfigError::Key { key: "settings".into(), error: e.to_string() })?;
             let (flows, conns) = Default::default();
             dispatchers.push(Dispatcher {
@@ -498,7 +488,7 @@
             key: arrival.key,
         };
         self.attempts.insert(number, Attempt { dispatcher, conn, id, job: job as u64 });
-        self.checker.sent(self.now, id, job as u64, number, at, dispatcher as u32);
+        self.checker.sent(self.now, id, number, at, dispatcher as u32);
         let fell = self.boxes[at].health() == Health::Fallen;
         let words = self.boxes[at].arrive(self.now, task);
         if !fell && self.boxes[at].health() == Health::Fallen {
--- a/crates/levels/src/governed.rs
+++ b/crates/levels/src/governed.rs
@@ -32,7 +32,7 @@
     armed: bool,
 }
 
-/// One figure of a condition, for those who look.
+/// The level in force, for those who look.
 #[derive(Debug, Clone, PartialEq)]
 pub struct LevelStatus {
     /// The name of the level in force.
--- a/crates/settings/src/platform.rs
+++ b/crates/settings/src/platform.rs
@@ -7,6 +7,7 @@
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
+use std::sync::Arc;
 
 /// Descriptors kept for what is no connection: standard streams, the runtime's own, the listening socket,
 /// discovery, peers and a reserve.
@@ -213,6 +214,20 @@
 }
 
 impl Config {
+    /// What the reducer takes of it, with levels of reduced service or without.
+    pub fn setup(&self, levels: Option<Arc<levels::Spec>>) -> state::Setup {
+        state::Setup {
+            settings: self.settings.clone(),
+            seed: self.seed,
+            me: self.me,
+            connections: self.target_connections,
+            connect_timeout: self.connect_timeout,
+            idle: self.idle,
+            probe_timeout: self.probe_timeout,
+            levels,
+        }
+    }
+
     /// What it comes to.
     pub fn summary(&self) -> Summary<'_> {
         Summary {
