--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -304,12 +304,11 @@
 
 #[derive(Debug, Default)]
 struct Clock {
-    awake: bool,
     timers: BinaryHeap<Reverse<(Micros, Timer)>>,
     armed: Option<Micros>,
     rescan_at: Micros,
-    grace: Micros, // an answer within this is prompt
-    watch: Backoff,
+    grace: Micros,             // an answer within this is prompt
+    ask: Option<roster::Pace>, // of calls to discovery, where it must be asked
 }
 
 /// Decides for one dispatcher.
@@ -342,20 +341,20 @@
         let rng = Pcg64Mcg::seed_from_u64(seed);
         let budget = Budget { rule: settings.rules.retry_budget, ..Budget::default() };
         let (now, workers, jobs, held, kinds, fleet) = Default::default();
-        let clock = Clock { grace, ..Clock::default() };
+        let clock = Clock { grace, ask: roster::Pace::new(&settings), ..Clock::default() };
         Ok(Dispatcher { settings, rng, now, clock, workers, jobs, held, classes, kinds, budget, fleet })
     }
 
     /// Takes the time and one event, and appends what to do.
     pub fn handle(&mut self, now: Micros, event: Event, out: &mut Vec<Action>) {
         self.now = self.now.max(now);
-        if !std::mem::replace(&mut self.clock.awake, true) && self.settings.discovery != Discovery::Pushed {
-            out.push(Action::Watch);
+        if self.clock.ask.as_ref().is_some_and(roster::Pace::unasked) {
+            self.ask();
         }
         let news = event.worker();
         match event {
             Event::Listed { kind, entries } => self.on_listed(kind, &entries, out),
-            Event::ListFailed => self.on_list_failed(),
+            Event::ListFailed => self.ask(),
             Event::Job(spec) => self.on_job(spec, out),
             Event::ClientGone(job) => self.close(job, false, out),
             Event::Started { job, attempt, worker } | Event::Progress { job, attempt, worker, .. } => {
@@ -379,7 +378,8 @@
     }
 
     fn on_listed(&mut self, kind: ListKind, entries: &[Listing], out: &mut Vec<Action>) {
-        (self.clock.rescan_at, self.clock.watch) = (0, Backoff::default());
+        self.clock.rescan_at = 0;
+        self.clock.ask.iter_mut().for_each(roster::Pace::heard);
         let listed: BTreeSet<WorkerId> = entries.iter().map(|e| e.worker).collect();
         let kept = |id: &WorkerId| kind == ListKind::Changes || listed.contains(id);
         let left = self.workers.iter_mut().filter(|(id, _)| !kept(id));
@@ -411,11 +411,11 @@
         }
     }
 
-    fn on_list_failed(&mut self) {
-        let Discovery::OnRequest { ask_within } = self.settings.discovery else { return };
-        // Paced like pushes; the longest pause is well within what the rules allow.
-        self.clock.watch.failure(self.now, ask_within as f64 / 32.0, &mut self.rng);
-        self.clock.timers.push(Reverse((self.clock.watch.open_at, Timer::Rewatch)));
+    /// Asks discovery after a pause: none is in another's way there.
+    fn ask(&mut self) {
+        let Some(ask) = self.clock.ask.as_mut() else { return };
+        let pause = ask.pause(unit(&mut self.rng), unit(&mut self.rng));
+        self.clock.timers.push(Reverse((self.now + pause, Timer::Rewatch)));
     }
 
     fn on_job(&mut self, spec: JobSpec, out: &mut Vec<Action>) {
--- /dev/null
+++ b/crates/roster/tests/herd.rs
@@ -0,0 +1,184 @@
+//! A hundred dispatchers before one discovery that handles their calls in turn.
+
+use api::{Discovery, Goal, Limits, Micros, Reports, Rules, Settings};
+use rand_pcg::rand_core::{RngCore, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+use roster::Pace;
+use std::cmp::Reverse;
+use std::collections::{BinaryHeap, VecDeque};
+
+const MS: Micros = 1_000;
+const SECOND: Micros = 1_000 * MS;
+
+fn settings(dispatchers: u32, discovery: Discovery) -> Settings {
+    Settings {
+        dispatchers,
+        zone: 0,
+        classes: vec![],
+        tenants: vec![],
+        goal: Goal { overall: 1.0, worst_window: 0.0, worst_class: 0.0, worst_tenant: 0.0 },
+        worth_by_work: false,
+        over_share_worth: 1.0,
+        waste_price: 0.0,
+        discovery,
+        reports: Reports::Probes,
+        start_notices: true,
+        progress_every: None,
+        limits: Limits {
+            attempts: 3,
+            concurrent_attempts: false,
+            cancel: true,
+            probe: true,
+            probe_price: 0.0,
+            cross_zone_price: 0.0,
+            connect_price: 0.0,
+            connection_idle: 10 * SECOND,
+            tell: 0,
+            tell_price: 0.0,
+            retry_after: None,
+        },
+        rules: Rules {
+            cold_for: 24 * SECOND,
+            start_capacity: 0.12,
+            tip_multiple: 3.0,
+            tip_window: SECOND,
+            retry_budget: None,
+            refusal_inconclusive: false,
+            close_on_drain: None,
+        },
+        tick: 5 * MS,
+    }
+}
+
+fn pace(dispatchers: u32) -> Pace {
+    Pace::new(&settings(dispatchers, Discovery::OnRequest { ask_within: 10 * SECOND })).unwrap()
+}
+
+fn unit(rng: &mut Pcg64Mcg) -> f64 {
+    (rng.next_u64() >> 11) as f64 / (1u64 << 53) as f64
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+enum Due {
+    Turn,
+    Call(usize),
+}
+
+/// Discovery takes a turn for each call, also for one that nobody waits for any longer.
+struct World {
+    rng: Pcg64Mcg,
+    paces: Vec<Pace>,
+    due: BinaryHeap<Reverse<(Micros, Due)>>,
+    queue: VecDeque<(Micros, usize)>,
+    told: Vec<Option<Micros>>,
+    failed: usize,
+    most_calls: usize,
+    calls: VecDeque<Micros>,
+}
+
+const TIMEOUT: Micros = 2 * SECOND;
+const QUEUE: usize = 100;
+
+impl World {
+    fn new(dispatchers: u32, restarted: usize, seed: u64) -> Self {
+        let mut rng = Pcg64Mcg::seed_from_u64(seed);
+        let mut paces = vec![pace(dispatchers); restarted];
+        // They are restarted within a second.
+        let call = |(n, pace): (usize, &mut Pace)| {
+            let start = (unit(&mut rng) * SECOND as f64) as Micros;
+            Reverse((start + pace.pause(unit(&mut rng), unit(&mut rng)), Due::Call(n)))
+        };
+        let due = paces.iter_mut().enumerate().map(call).collect();
+        let (queue, calls) = Default::default();
+        World { rng, paces, due, queue, told: vec![None; restarted], failed: 0, most_calls: 0, calls }
+    }
+
+    fn fails(&mut self, at: Micros, n: usize) {
+        self.failed += 1;
+        let pause = self.paces[n].pause(unit(&mut self.rng), unit(&mut self.rng));
+        self.due.push(Reverse((at + pause, Due::Call(n))));
+    }
+
+    /// Plays until all are told or the time is over; discovery is down until `up`.
+    fn play(&mut self, turn: Micros, up: Micros, until: Micros) {
+        while let Some(Reverse((now, due))) = self.due.pop().filter(|d| d.0 .0 < until) {
+            match due {
+                Due::Call(n) => {
+                    self.calls.push_back(now);
+                    self.calls.retain(|t| *t + SECOND > now);
+                    self.most_calls = self.most_calls.max(self.calls.len());
+                    if now < up || self.queue.len() >= QUEUE {
+                        self.fails(now, n);
+                        continue;
+                    }
+                    self.queue.push_back((now, n));
+                    if self.queue.len() == 1 {
+                        self.due.push(Reverse((now + turn, Due::Turn)));
+                    }
+                }
+                Due::Turn => {
+                    let Some((called, n)) = self.queue.pop_front() else { continue };
+                    if !self.queue.is_empty() {
+                        self.due.push(Reverse((now + turn, Due::Turn)));
+                    }
+                    if now > called + TIMEOUT {
+                        // Its caller had its failure when the time was up.
+                        self.fails((called + TIMEOUT).max(now - turn), n);
+                    } else {
+                        self.paces[n].heard();
+                        self.told[n] = Some(now);
+                    }
+                }
+            }
+        }
+    }
+
+    fn last_told(&self) -> Option<Micros> {
+        self.told.iter().copied().collect::<Option<Vec<_>>>()?.into_iter().max()
+    }
+}
+
+#[test]
+fn nine_in_ten_restarted_together_are_all_told_within_the_time_that_their_spread_takes() {
+    for seed in 0..20 {
+        let mut world = World::new(100, 90, seed);
+        world.play(55 * MS, 0, 60 * SECOND);
+        let last = world.last_told().expect("all are told");
+        assert!(last < 10 * SECOND, "seed {seed}: the last one was told after {last} us");
+        assert!(world.failed <= 9, "seed {seed}: {} calls failed", world.failed);
+    }
+}
+
+#[test]
+fn callers_that_waited_for_a_discovery_that_was_down_do_not_keep_it_down() {
+    for seed in 0..20 {
+        let mut world = World::new(100, 100, seed);
+        world.play(55 * MS, 10 * SECOND, 120 * SECOND);
+        let last = world.last_told().expect("all are told");
+        assert!(last < 40 * SECOND, "seed {seed}: the last one was told after {last} us");
+        assert!(world.most_calls <= 60, "seed {seed}: {} calls in a second", world.most_calls);
+    }
+}
+
+#[test]
+fn two_dispatchers_ask_at_once_and_again_soon() {
+    let mut two = pace(2);
+    assert_eq!(two.pause(0.5, 0.9), 0, "there is no herd of two");
+    assert_eq!(two.pause(0.5, 0.9), 78_125);
+    assert_eq!(two.pause(0.5, 0.9), 156_250);
+    for _ in 0..100 {
+        assert!(two.pause(1.0, 1.0) <= 3_250 * MS, "well within what the rules allow");
+    }
+    two.heard();
+    assert_eq!(two.pause(0.5, 0.9), 78_125, "an answer starts it over");
+}
+
+#[test]
+fn no_size_of_the_fleet_has_a_dispatcher_ask_later_than_it_must() {
+    for dispatchers in [1, 2, 3, 100, 10_000, u32::MAX] {
+        let mut pace = pace(dispatchers);
+        assert!(pace.pause(1.0, 1.0) <= 5 * SECOND, "{dispatchers}");
+        assert!((0..100).all(|_| pace.pause(1.0, 1.0) < 40 * SECOND), "{dispatchers}");
+    }
+    assert!(Pace::new(&settings(100, Discovery::Pushed)).is_none(), "nobody needs to be asked");
+}
