Take loads from the list's weights in a large fleet, and read them as stale

Every 0.56 s the watch brought the weights of nearly all targets, size / (1 + held per core), which nobody read.

Change: Listing carries the weight, settings weight-source. With live weights and more targets than a look holds, slots held come from the list; room is counted up to the level that all targets come to before the next news (Dahlin 1999), a cold one by its warmth. Then no probes are sent, jobs do not wait for a home that has no room, and a late start is called off only where another has room. A look always holds the homes of the first job of each lane. A push is logged with the target's name, so that logs of many dispatchers can be put together.

A fleet that fits a look is decided for as before.

--- a/crates/api/src/lib.rs
+++ b/crates/api/src/lib.rs
@@ -193,6 +193,8 @@
     pub start_notices: bool,
     /// Workers tell a running job's progress this often.
     pub progress_every: Option<Micros>,
+    /// The list gives each worker its size, divided by 1 + the requests that it held for each core some time ago.
+    pub live_weights: bool,
     /// What is permitted.
     pub limits: Limits,
     /// The figures of the rules.
@@ -324,6 +326,9 @@
     pub cell: u32,
     /// When its process last started; none if long ago.
     pub started: Option<Micros>,
+    /// Its weight beside others of the list, without unit; what it means is [`Settings::live_weights`]. None if the
+    /// list tells none.
+    pub weight: Option<f64>,
 }
 
 impl Listing {
--- a/crates/decide/src/figures.rs
+++ b/crates/decide/src/figures.rs
@@ -1,7 +1,8 @@
 //! What is believed and counted, for those who watch over the service. Nothing is decided here.
 
-use super::{Dispatcher, Lane, Worker, RUN_CAP};
+use super::{Dispatcher, Lane, Worker, AGEING, RUN_CAP};
 use api::*;
+use roster::Kind;
 use std::collections::{BTreeMap, VecDeque};
 
 /// Progress notes missed in a row, or capped runs where there are none, after which a worker is silent.
@@ -63,6 +64,30 @@
         super::span(times * each) + self.clock.grace
     }
 
+    /// What is known of its kind.
+    pub(super) fn kind(&self, w: &Worker) -> Kind {
+        self.kinds.get(&w.listing.kind).copied().unwrap_or_default()
+    }
+
+    /// How long a job runs, by the classes that come.
+    pub(super) fn mean_run(&self) -> f64 {
+        let arrivals: f64 = self.classes.iter().map(|t| t.arrivals + 1.0).sum();
+        self.classes.iter().map(|t| t.run * (t.arrivals + 1.0)).sum::<f64>() / arrivals
+    }
+
+    /// How far a report still counts, by when it came.
+    pub(super) fn fading(&self) -> impl Fn(Micros) -> f64 {
+        let (now, ageing) = (self.now, AGEING * self.mean_run());
+        move |at| ageing / (ageing + now.saturating_sub(at) as f64)
+    }
+
+    /// What others hold at a worker that says nothing: by reports of its peers, and as much as own jobs hold.
+    pub(super) fn mean_others(&self) -> f64 {
+        let (fade, count) = (self.fading()(self.fleet.others.2), self.fleet.ready.len().max(1) as f64);
+        let even = self.fleet.own / count * f64::from(self.settings.dispatchers - 1);
+        (self.fleet.others.0 * fade + even) / (self.fleet.others.1 * fade + 1.0)
+    }
+
     /// The share of its capacity that a worker has for certain.
     pub(super) fn warmth(&self, w: &Worker) -> f64 {
         let Some(started) = w.listing.started else { return 1.0 };
@@ -76,6 +101,11 @@
         held.map(|(l, q)| f64::from(l.slots) * q.len() as f64 * self.classes[l.class].run).sum()
     }
 
+    /// How long what is held there would take at the pace at which own jobs are taken.
+    pub(super) fn wait<'a>(&self, held: impl Iterator<Item = (&'a Lane, &'a VecDeque<JobId>)>) -> f64 {
+        self.work(held) / self.fleet.own.max(self.fleet.ready.len() as f64).max(1.0)
+    }
+
     /// What is believed and counted, for those who watch over the service.
     pub fn figures(&self) -> Figures {
         let patience = self.patience();
--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -9,6 +9,7 @@
 use api::*;
 use rand_pcg::rand_core::{RngCore, SeedableRng};
 use rand_pcg::Pcg64Mcg;
+use roster::{Kind, Loads, Pace};
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet, BinaryHeap, VecDeque};
 use std::sync::Arc;
@@ -22,9 +23,6 @@
 const INITIAL: f64 = 0.25; // a slot frees about this often on a busy worker of a few slots
 const MAX: f64 = 8.0;
 
-const BASE_SLOTS: f64 = 4.0; // slots of a worker before anything is known of any
-const FREE_QUANTILE: f64 = 0.98; // of the free slots reported: that many slots has a worker
-const FREE_STEP: f64 = 0.5; // how fast the quantile is followed
 const ROOM_SLACK: f64 = 0.35; // room within this much of a job's slots is enough: reports are noisy
 const HURRY: f64 = 3.0; // how fast a wide job gives up waiting for all its slots at once
 const AGEING: f64 = 2.0; // a report's weight has halved after this many mean runs
@@ -166,26 +164,6 @@
     }
 }
 
-#[derive(Debug, Clone, Copy, Default)]
-struct Kind {
-    ran: f64,   // most slots seen running at one of them for this dispatcher
-    above: f64, // a high quantile of the free slots reported, from BASE_SLOTS up
-    most: f64,  // most free slots reported
-}
-
-impl Kind {
-    /// Reports are noisy: their highest value says too much, so a quantile is followed.
-    fn reported(&mut self, free: f64) {
-        self.most = self.most.max(free);
-        let over = f64::from(u8::from(free > BASE_SLOTS + self.above));
-        self.above = (self.above + FREE_STEP * (over + FREE_QUANTILE - 1.0)).max(-BASE_SLOTS);
-    }
-
-    fn slots(&self) -> f64 {
-        self.ran.max((BASE_SLOTS + self.above).round()).max(1.0)
-    }
-}
-
 #[derive(Debug, Clone)]
 struct Attempt {
     worker: WorkerId,
@@ -295,6 +273,7 @@
     own: f64,
     sent: (u64, u64),           // attempts, and those turned away
     others: (f64, f64, Micros), // what others hold: fading sum and weight of reports, and when added to
+    loads: Loads,               // as the list told them
     tell_credit: f64,
     probe_credit: f64,
     best: f64,                 // gain of the best lane
@@ -307,8 +286,8 @@
     timers: BinaryHeap<Reverse<(Micros, Timer)>>,
     armed: Option<Micros>,
     rescan_at: Micros,
-    grace: Micros,             // an answer within this is prompt
-    ask: Option<roster::Pace>, // of calls to discovery, where it must be asked
+    grace: Micros,     // an answer within this is prompt
+    ask: Option<Pace>, // of calls to discovery, where it must be asked
 }
 
 /// Decides for one dispatcher.
@@ -341,14 +320,14 @@
         let rng = Pcg64Mcg::seed_from_u64(seed);
         let budget = Budget { rule: settings.rules.retry_budget, ..Budget::default() };
         let (now, workers, jobs, held, kinds, fleet) = Default::default();
-        let clock = Clock { grace, ask: roster::Pace::new(&settings), ..Clock::default() };
+        let clock = Clock { grace, ask: Pace::new(&settings), ..Clock::default() };
         Ok(Dispatcher { settings, rng, now, clock, workers, jobs, held, classes, kinds, budget, fleet })
     }
 
     /// Takes the time and one event, and appends what to do.
     pub fn handle(&mut self, now: Micros, event: Event, out: &mut Vec<Action>) {
         self.now = self.now.max(now);
-        if self.clock.ask.as_ref().is_some_and(roster::Pace::unasked) {
+        if self.clock.ask.as_ref().is_some_and(Pace::unasked) {
             self.ask();
         }
         let news = event.worker();
@@ -379,7 +358,7 @@
 
     fn on_listed(&mut self, kind: ListKind, entries: &[Listing], out: &mut Vec<Action>) {
         self.clock.rescan_at = 0;
-        self.clock.ask.iter_mut().for_each(roster::Pace::heard);
+        self.clock.ask.iter_mut().for_each(Pace::heard);
         let listed: BTreeSet<WorkerId> = entries.iter().map(|e| e.worker).collect();
         let kept = |id: &WorkerId| kind == ListKind::Changes || listed.contains(id);
         let left = self.workers.iter_mut().filter(|(id, _)| !kept(id));
@@ -396,12 +375,34 @@
             worker.listing = Listing { started, ..entry.clone() };
         }
         self.fleet.ready = self.workers.iter().filter(|(_, w)| w.ready()).map(|(id, _)| *id).collect();
+        if self.told_loads() {
+            self.heed_weights(kind, entries);
+        }
         let zone = |id: &&WorkerId| self.workers[id].listing.zone == self.settings.zone;
         self.fleet.near = self.fleet.ready.iter().filter(zone).copied().collect();
         let shut: Vec<_> = self.workers.iter().filter(|(_, w)| !w.ready()).map(|(id, _)| *id).collect();
         shut.into_iter().for_each(|id| self.hang_up(id, out));
     }
 
+    /// The list tells the loads of more workers than this dispatcher could ask.
+    fn told_loads(&self) -> bool {
+        self.settings.live_weights && self.fleet.ready.len() > SAMPLE
+    }
+
+    fn heed_weights(&mut self, list: ListKind, entries: &[Listing]) {
+        for (entry, weight) in entries.iter().filter_map(|e| Some((e, e.weight?))) {
+            let held = self.kinds.entry(entry.kind).or_default().listed(weight);
+            let told = held.filter(|_| list != ListKind::Inherited);
+            if let (Some(w), Some(held)) = (self.workers.get_mut(&entry.worker), told) {
+                (w.others, w.reported) = ((held - w.own()).max(0.0), Some(self.now));
+            }
+        }
+        let ready = || self.fleet.ready.iter().filter_map(|id| self.workers.get(id));
+        let held = ready().map(|w| w.others + w.own()).sum();
+        let slots = ready().map(|w| self.kind(w).slots() * self.warmth(w)).sum();
+        self.fleet.loads = Loads { held, slots, at: self.now };
+    }
+
     /// Connections to a worker that drains or is gone are given back, on the notice and after each outcome.
     fn hang_up(&mut self, worker: WorkerId, out: &mut Vec<Action>) {
         let Some(w) = self.workers.get_mut(&worker).filter(|w| !w.ready()) else { return };
@@ -444,14 +445,17 @@
         self.hold(id, false);
         self.bound_hold(id, class);
         let probes = PROBE_SPEND / self.settings.limits.probe_price.max(1.0e-9);
-        self.fleet.probe_credit = (self.fleet.probe_credit + probes).min(MOST_SCOUTS as f64);
+        let most = if self.told_loads() { 0.0 } else { MOST_SCOUTS as f64 };
+        self.fleet.probe_credit = (self.fleet.probe_credit + probes).min(most);
     }
 
     /// The open workers that are meant for the job's key.
-    fn homes(&self, spec: &JobSpec) -> Vec<WorkerId> {
-        let Some(key) = spec.key else { return vec![] };
-        let kind = self.settings.classes[spec.class].kind;
-        let fits = |w: &Worker| kind.is_none_or(|k| k == w.listing.kind);
+    fn homes(&self, job: &Job) -> Vec<WorkerId> {
+        let Some(key) = job.spec.key else { return vec![] };
+        let kind = self.settings.classes[job.spec.class].kind;
+        // A cold one that may not be sent to yet is no home where a job does not wait for its homes.
+        let warm = |w: &Worker| !self.told_loads() || self.cold_ok(job, w);
+        let fits = |w: &Worker| kind.is_none_or(|k| k == w.listing.kind) && warm(w);
         let ready = self.fleet.ready.iter().filter_map(|id| self.workers.get_key_value(id));
         let ready = ready.filter(|(_, w)| fits(w) && w.open(self.now, self.clock.grace));
         let mut homes: Vec<_> = ready.map(|(id, w)| (Reverse(kin(key, w.listing.mark)), id)).collect();
@@ -460,7 +464,7 @@
     }
 
     fn hold(&mut self, id: JobId, first: bool) {
-        let homes = self.jobs.get(&id).map_or(vec![], |j| self.homes(&j.spec));
+        let homes = self.jobs.get(&id).map_or(vec![], |j| self.homes(j));
         let Some(job) = self.jobs.get_mut(&id) else { return };
         let (class, slots) = (job.spec.class, job.spec.slots.clamp(1.0, 1.0e6).ceil() as u32);
         let lane = Lane { class, slots, late: self.now >= job.start_by };
@@ -541,8 +545,7 @@
         // A start notice may overtake an outcome: only runs under way for a while show slots.
         let starts = || w.outstanding.iter().filter_map(|o| Some((o.started?, o.slots)));
         if starts().all(|(t, _)| self.now > t + self.clock.grace) {
-            let kind = self.kinds.entry(w.listing.kind).or_default();
-            kind.ran = starts().map(|(_, slots)| slots).sum::<f64>().max(kind.ran);
+            self.kinds.entry(w.listing.kind).or_default().seen(starts().map(|(_, slots)| slots).sum());
         }
         let o = w.find(id, attempt).map(|at| w.outstanding.swap_remove(at))?;
         self.fleet.own -= o.slots;
@@ -665,7 +668,7 @@
     fn cold_ok(&self, job: &Job, w: &Worker) -> bool {
         let (rules, share) = (&self.settings.rules, self.warmth(w));
         let (kind, told) = (self.kind(w), self.settings.reports != Reports::None);
-        let shown = if told { kind.most.max(kind.ran).clamp(1.0, kind.slots()) } else { kind.slots() };
+        let shown = if told { kind.shown() } else { kind.slots() };
         let (work, capacity) = (job.spec.slots * job.work, shown * share);
         let tips = rules.tip_multiple * capacity;
         let gap = work * f64::from(self.settings.dispatchers) / (COLD_SAFETY * tips).max(1.0e-9);
@@ -753,16 +756,16 @@
         pool.get((unit(&mut self.rng) * pool.len() as f64) as usize).copied()
     }
 
-    /// Workers to look at: all of a small fleet; of a larger one those heard of last, and some drawn.
+    /// Workers to look at: all of a small fleet; of a larger one homes, those heard of last, and some drawn.
     fn sample(&mut self, drawn: usize) -> Vec<WorkerId> {
         if self.fleet.ready.len() <= SAMPLE {
             return self.fleet.ready.clone();
         }
-        let mut sample: Vec<WorkerId> = self.fleet.heard.iter().copied().collect();
-        for _ in 0..drawn {
-            sample.extend(self.draw(f64::INFINITY).filter(|id| !sample.contains(id)));
-        }
-        sample
+        let firsts = self.held.values().filter_map(|q| self.jobs.get(q.front()?));
+        let homes = firsts.flat_map(|job| job.homes.iter().copied());
+        let mut sample: BTreeSet<WorkerId> = homes.chain(self.fleet.heard.iter().copied()).collect();
+        (0..drawn).for_each(|_| sample.extend(self.draw(f64::INFINITY)));
+        sample.into_iter().collect()
     }
 
     /// Each push buys entries for the others; the more must read a message, the more go into one.
@@ -817,34 +820,17 @@
         self.on_report(worker, report);
     }
 
-    fn kind(&self, w: &Worker) -> Kind {
-        self.kinds.get(&w.listing.kind).copied().unwrap_or_default()
-    }
-
-    fn mean_run(&self) -> f64 {
-        let arrivals: f64 = self.classes.iter().map(|t| t.arrivals + 1.0).sum();
-        self.classes.iter().map(|t| t.run * (t.arrivals + 1.0)).sum::<f64>() / arrivals
-    }
-
-    fn fading(&self) -> impl Fn(Micros) -> f64 {
-        let (now, ageing) = (self.now, AGEING * self.mean_run());
-        move |at| ageing / (ageing + now.saturating_sub(at) as f64)
-    }
-
-    /// What others hold at a worker that says nothing: by reports of its peers, and as much as own jobs hold.
-    fn mean_others(&self) -> f64 {
-        let (fade, count) = (self.fading()(self.fleet.others.2), self.fleet.ready.len().max(1) as f64);
-        let even = self.fleet.own / count * f64::from(self.settings.dispatchers - 1);
-        (self.fleet.others.0 * fade + even) / (self.fleet.others.1 * fade + 1.0)
-    }
-
     fn candidates(&self, ids: &[WorkerId]) -> Vec<Candidate> {
         let (fading, mean_others, idle) = (self.fading(), self.mean_others(), self.idle_span());
+        let level = self.told_loads().then(|| self.fleet.loads.level(self.now, self.mean_run()));
         let candidate = |id: &WorkerId| {
             let w = self.workers.get(id).filter(|w| w.open(self.now, self.clock.grace))?;
+            let (slots, pace) = (self.kind(w).slots(), w.pace());
             let fresh = w.reported.map_or(0.0, &fading);
-            let others = w.others * fresh + mean_others * (1.0 - fresh);
-            let (room, pace) = (self.kind(w).slots() - w.own() - others, w.pace());
+            let room = match level {
+                Some(level) => slots * self.warmth(w) * level - w.others,
+                None => slots - w.others * fresh - mean_others * (1.0 - fresh),
+            } - w.own();
             let known = fresh + (1.0 - fresh) / f64::from(self.settings.dispatchers);
             let price = self.price(w, idle);
             let bound = self.settings.classes.iter().any(|c| c.kind == Some(w.listing.kind));
@@ -862,7 +848,7 @@
             self.candidates(news.as_slice())
         } else {
             // With probes out or to spare only workers heard of lately will do.
-            let sample = self.sample(if self.scouting() { 0 } else { SAMPLE / 2 });
+            let sample = self.sample(if self.scouting() { 0 } else { SAMPLE });
             self.clock.rescan_at = self.now + span(RESCAN * self.mean_run());
             self.candidates(&sample)
         };
@@ -880,9 +866,8 @@
             while let Some(id) = self.held.get(&lane).and_then(|q| q.front().copied()) {
                 let picked = self.pick(id, &candidates);
                 let Some(worker) = picked.filter(|w| self.push(id, *w, out).is_some()) else { break };
-                for c in candidates.iter_mut().filter(|c| c.id == worker) {
-                    c.room -= f64::from(lane.slots);
-                }
+                let placed = candidates.iter_mut().filter(|c| c.id == worker);
+                placed.for_each(|c| c.room -= f64::from(lane.slots));
             }
         }
         self.scout(out);
@@ -900,7 +885,8 @@
         let headroom = self.headroom(job.spec.class);
         let fits = |c: &&Candidate| c.room >= need + if c.bound { headroom } else { 0.0 };
         let rank = |c: &Candidate| job.homes.iter().position(|h| *h == c.id).unwrap_or(job.homes.len());
-        let away = waited > AWAY * self.mean_run();
+        // Where no news of the homes will come, there is nothing to wait for.
+        let away = self.told_loads() || waited > AWAY * self.mean_run();
         let weight = |c: &&Candidate| c.room * c.pace * KIN.powi(-(rank(c) as i32));
         let mut open: Vec<_> = candidates.iter().filter(fits).filter(|c| away || rank(c) < HOMES).collect();
         // To fetch what a job needs takes longer than any way to where it is kept.
@@ -952,11 +938,6 @@
         }
     }
 
-    /// How long what is held there would take at the pace at which own jobs are taken.
-    fn wait<'a>(&self, held: impl Iterator<Item = (&'a Lane, &'a VecDeque<JobId>)>) -> f64 {
-        self.work(held) / self.fleet.own.max(self.fleet.ready.len() as f64).max(1.0)
-    }
-
     /// A late job brings too little beside what is held, or what goes before it would outlast its time.
     fn given_up(&self, job: &Job) -> bool {
         let Some(lane) = job.held.map(|l| Lane { late: true, ..l }) else { return false };
@@ -996,8 +977,8 @@
         let idempotency = self.settings.classes[job.spec.class].idempotency;
         let mut elsewhere = self.candidates(&sample);
         elsewhere.retain(|c| c.id != worker && c.room >= job.spec.slots - ROOM_SLACK);
-        let movable =
-            idempotency == Idempotency::Safe || elsewhere.iter().any(|c| self.repeat_ok(job, Some(c.id)));
+        let safe = idempotency == Idempotency::Safe && !self.told_loads();
+        let movable = safe || elsewhere.iter().any(|c| self.repeat_ok(job, Some(c.id)));
         if movable && !self.spent(job) && self.budget.fits(self.now, false) && self.settings.limits.cancel {
             out.push(Action::Cancel { job: id, attempt });
         } else if idempotency != Idempotency::Unsafe {
--- a/crates/decide/tests/common/mod.rs
+++ b/crates/decide/tests/common/mod.rs
@@ -33,6 +33,7 @@
         reports: Reports::Outcomes,
         start_notices: true,
         progress_every: None,
+        live_weights: false,
         limits: Limits {
             attempts: 5,
             concurrent_attempts: false,
@@ -80,6 +81,7 @@
         zone: 0,
         cell: worker / 2,
         started: None,
+        weight: None,
     }
 }
 
--- /dev/null
+++ b/crates/decide/tests/size.rs
@@ -0,0 +1,95 @@
+//! A hundred dispatchers before sixty workers: what each does, and what comes of it when all do it.
+
+mod common;
+
+use api::*;
+use common::*;
+use std::collections::BTreeMap;
+
+const DISPATCHERS: u32 = 100;
+const WORKERS: u32 = 60;
+const SIZE: f64 = 7.5;
+
+fn many_told() -> Settings {
+    let mut config = settings(vec![safe()]);
+    (config.dispatchers, config.live_weights) = (DISPATCHERS, true);
+    (config.reports, config.limits.probe_price) = (Reports::Probes, 0.0044);
+    config
+}
+
+/// All idle but those below `busy`, which held three requests for each core.
+fn list(busy: u32) -> Vec<Listing> {
+    let weight = |w: u32| Some(if w < busy { SIZE / 4.0 } else { SIZE });
+    (0..WORKERS).map(|w| Listing { weight: weight(w), ..listing(w) }).collect()
+}
+
+#[test]
+fn a_list_that_all_have_does_not_send_the_jobs_of_all_to_the_same_few() {
+    // Found on join+vast: pushes swung from the one half of the fleet to the other with each list, 40 queued here
+    // and none there.
+    let mut sent: BTreeMap<bool, usize> = BTreeMap::new();
+    for seed in 0..u64::from(DISPATCHERS) {
+        let mut rig = Rig::seeded(many_told(), 0, seed);
+        rig.list(ListKind::Inherited, list(0));
+        rig.list(ListKind::Changes, list(48));
+        for id in 0..3 {
+            rig.now += 100 * MS;
+            let pushed = pushes(&rig.job(id, 0, 1.0));
+            assert_eq!(pushed.len(), 1, "there is room at some worker, and nothing to wait for");
+            *sent.entry(pushed[0].1 .0 < 48).or_default() += 1;
+        }
+    }
+    let (busy, idle) = (sent[&true] as f64 / 48.0, sent[&false] as f64 / 12.0);
+    assert!(idle > 1.5 * busy, "the idle ones take more each: {idle} {busy}");
+    assert!(idle < 10.0, "of 300 jobs, 60 workers and twice as many as fill them: {idle} {busy}");
+}
+
+#[test]
+fn in_a_fleet_larger_than_a_look_a_job_with_a_key_goes_to_a_home_at_once() {
+    // Found on all large days: a look drew 12 of 60 workers, and jobs waited until one of theirs was among them.
+    let mut rig = Rig::new(many_told(), 0);
+    rig.list(ListKind::Inherited, list(0));
+    rig.list(ListKind::Changes, list(0));
+    let mut homes: BTreeMap<u64, Vec<WorkerId>> = BTreeMap::new();
+    for id in 0..60 {
+        rig.now += 1_000 * MS;
+        rig.key = Some(id % 6);
+        let pushed = pushes(&rig.job(id, 0, 1.0));
+        assert_eq!(pushed.len(), 1, "job {id} waits");
+        homes.entry(id % 6).or_default().push(pushed[0].1);
+        rig.ended(id, 0, pushed[0].1, Outcome::Done);
+    }
+    for (key, at) in homes {
+        assert!(at.iter().filter(|w| **w == at[0]).count() >= 8, "key {key} has a home: {at:?}");
+    }
+}
+
+#[test]
+fn a_late_start_is_not_called_off_where_the_list_shows_no_room_elsewhere() {
+    let mut rig = Rig::new(many_told(), 0);
+    rig.list(ListKind::Inherited, list(0));
+    rig.list(ListKind::Changes, list(0));
+    let (_, first) = pushes(&rig.job(1, 0, 1.0))[0];
+    // All others are cold and have just been sent to.
+    let started = Some(rig.now);
+    let cold = (0..WORKERS).filter(|w| WorkerId(*w) != first);
+    rig.list(
+        ListKind::Changes,
+        cold.map(|w| Listing { started, weight: Some(0.01), ..listing(w) }).collect(),
+    );
+    for _ in 0..500 {
+        assert!(cancels(&rig.after(MS)).is_empty(), "it would lose its place in the queue for nothing");
+    }
+}
+
+#[test]
+fn a_weight_that_is_none_counts_as_none() {
+    let mut rig = Rig::new(many_told(), 0);
+    rig.list(ListKind::Inherited, list(0));
+    for weight in [f64::NAN, f64::INFINITY, -1.0, 0.0] {
+        let odd = (0..WORKERS).map(|w| Listing { weight: Some(weight), ..listing(w) }).collect();
+        rig.list(ListKind::Changes, odd);
+        rig.now += 100 * MS;
+        assert_eq!(pushes(&rig.job(weight.to_bits(), 0, 1.0)).len(), 1, "{weight}");
+    }
+}
--- a/crates/discovery/src/lib.rs
+++ b/crates/discovery/src/lib.rs
@@ -61,6 +61,7 @@
                 State::Draining => Status::Draining,
                 State::Gone => Status::Gone,
             },
+            weight: e.weight,
             started: (e.started_ms > 0.0).then(|| self.clock.at_unix_ms(e.started_ms)),
         };
         let kind = match list.full {
--- a/crates/lab/src/model.rs
+++ b/crates/lab/src/model.rs
@@ -263,7 +263,16 @@
             };
             let shape = engine.shape();
             let (zone, kind, cell) = (shape.zone, shape.kind, *at as u32 / 2);
-            Listed { name: name(*at), addr: addr(*at), zone, kind, cell, status, started: engine.started() }
+            Listed {
+                name: name(*at),
+                addr: addr(*at),
+                zone,
+                kind,
+                cell,
+                status,
+                started: engine.started(),
+                weight: None,
+            }
         };
         Input::Listed { kind, version: Some(1), entries: which.iter().map(entry).collect() }
     }
--- /dev/null
+++ b/crates/roster/src/kind.rs
@@ -0,0 +1,62 @@
+//! What is known of the workers of one machine kind.
+
+use crate::load::held_per_core;
+
+/// Slots of a worker before anything is known of any.
+const BASE_SLOTS: f64 = 4.0;
+/// The quantile of the free slots reported that is followed: that many slots has a worker.
+const FREE_QUANTILE: f64 = 0.98;
+/// How fast it is followed, slots for each report.
+const FREE_STEP: f64 = 0.5;
+/// Slots of a job, where only the number of jobs is told.
+const WIDE: f64 = 1.4;
+
+/// What is known of the workers of one machine kind. All figures are slots.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct Kind {
+    ran: f64,
+    above: f64,
+    most: f64,
+    size: f64,
+}
+
+impl Kind {
+    /// One of them reported free slots. Reports are noisy: their highest value says too much, so a quantile is
+    /// followed.
+    pub fn reported(&mut self, free: f64) {
+        self.most = self.most.max(free);
+        let over = f64::from(u8::from(free > self.base() + self.above));
+        self.above = (self.above + FREE_STEP * (over + FREE_QUANTILE - 1.0)).max(-self.base());
+    }
+
+    /// So many slots were seen at work at one of them.
+    pub fn seen(&mut self, running: f64) {
+        self.ran = self.ran.max(running);
+    }
+
+    /// A list gave one of them this live weight. Returns the slots that seem to have been held there; none if the
+    /// weight says nothing.
+    pub fn listed(&mut self, weight: f64) -> Option<f64> {
+        let weight = Some(weight).filter(|w| w.is_finite() && *w > 0.0)?;
+        self.size = self.size.max(weight);
+        Some(WIDE * self.slots() * held_per_core(self.size, weight)?)
+    }
+
+    /// The slots that one of them has, as far as is known.
+    pub fn slots(&self) -> f64 {
+        self.ran.max((self.base() + self.above).round()).max(1.0)
+    }
+
+    /// The slots that one of them has for certain, where it reports them; a size told is as good.
+    pub fn shown(&self) -> f64 {
+        self.most.max(self.ran).max(self.size).clamp(1.0, self.slots())
+    }
+
+    fn base(&self) -> f64 {
+        if self.size > 0.0 {
+            self.size
+        } else {
+            BASE_SLOTS
+        }
+    }
+}
--- a/crates/roster/src/lib.rs
+++ b/crates/roster/src/lib.rs
@@ -11,6 +11,12 @@
 //! see M. Brooker, "Exponential Backoff And Jitter" (AWS Architecture Blog, 2015). Nothing here reads a clock or
 //! draws a random number.
 
+mod kind;
+mod load;
+
+pub use kind::Kind;
+pub use load::{held_per_core, Loads};
+
 use api::{Discovery, Micros, Settings};
 
 /// Room that is left to each dispatcher beyond two for one call to discovery. It must be no less than a turn of
--- a/crates/roster/tests/herd.rs
+++ b/crates/roster/tests/herd.rs
@@ -24,6 +24,7 @@
         reports: Reports::Probes,
         start_notices: true,
         progress_every: None,
+        live_weights: false,
         limits: Limits {
             attempts: 3,
             concurrent_attempts: false,
--- /dev/null
+++ b/crates/roster/tests/load.rs
@@ -0,0 +1,37 @@
+//! Loads as lists tell them.
+
+use roster::{held_per_core, Kind, Loads};
+
+#[test]
+fn a_weight_tells_what_was_held() {
+    assert_eq!(held_per_core(7.5, 7.5), Some(0.0));
+    assert_eq!(held_per_core(7.5, 2.5), Some(2.0));
+    assert_eq!(held_per_core(7.5, 8.0), Some(0.0), "never less than nothing");
+    for bad in [0.0, -1.0, f64::NAN, f64::INFINITY] {
+        assert_eq!(held_per_core(7.5, bad), None);
+        assert_eq!(held_per_core(bad, 7.5), None);
+        assert_eq!(Kind::default().listed(bad), None);
+    }
+}
+
+#[test]
+fn the_older_loads_are_the_higher_is_the_level_that_all_come_to() {
+    let loads = Loads { held: 180.0, slots: 360.0, at: 0 };
+    assert_eq!(loads.level(0, 500_000.0), 1.5, "half is held, and a second is two runs");
+    assert_eq!(loads.level(1_000_000, 500_000.0), 2.5);
+    assert_eq!(Loads { held: 1.0, ..loads }.level(0, 500_000.0), 1.0, "a free slot is as good as another");
+    assert!(loads.level(u64::MAX, 1.0) <= 16.0, "bounded, whatever is told");
+    assert_eq!(Loads { held: f64::NAN, ..loads }.level(0, 1.0), 1.0);
+}
+
+#[test]
+fn a_listed_size_stands_for_the_slots_until_reports_say_more() {
+    let mut kind = Kind::default();
+    assert_eq!(kind.slots(), 4.0);
+    assert_eq!(kind.listed(7.5), Some(0.0));
+    assert_eq!((kind.slots(), kind.shown()), (8.0, 7.5));
+    kind.listed(2.5);
+    assert_eq!(kind.slots(), 8.0, "a busy worker is no smaller");
+    kind.seen(9.0);
+    assert_eq!(kind.slots(), 9.0);
+}
--- a/crates/settings/src/facts.rs
+++ b/crates/settings/src/facts.rs
@@ -29,6 +29,8 @@
     pub tenants: Option<Vec<TenantFacts>>,
     #[serde(rename = "tick-ms")]
     pub tick: f64,
+    #[serde(rename = "weight-source")]
+    pub weight_source: Option<String>,
     #[serde(rename = "worth-by")]
     pub worth_by: Option<String>,
     /// This dispatcher's number.
@@ -198,6 +200,7 @@
         },
         start_notices: x.tells_start,
         progress_every: (x.progress_ms > 0.0).then(|| micros(x.progress_ms)),
+        live_weights: f.weight_source.as_deref() == Some("live"),
         limits: Limits {
             attempts: f.allowed.attempts_cap,
             concurrent_attempts: f.allowed.second_copies,
--- a/crates/settings/src/list.rs
+++ b/crates/settings/src/list.rs
@@ -35,6 +35,9 @@
     /// When it last started, in Unix time, milliseconds; 0 for long ago.
     #[serde(default)]
     pub started_ms: f64,
+    /// Its weight beside the others; what it means stands in the settings.
+    #[serde(default)]
+    pub weight: Option<f64>,
 }
 
 /// Whether a listed target takes new work.
--- a/crates/simwire/src/lib.rs
+++ b/crates/simwire/src/lib.rs
@@ -88,6 +88,7 @@
     cohort: Option<u32>,
     #[serde(rename = "last-start-ms")]
     last_start: Option<f64>,
+    rating: Option<f64>,
 }
 
 #[derive(Debug, Deserialize)]
@@ -354,6 +355,7 @@
                 zone: e.dc.unwrap_or(0),
                 cell: e.cohort.unwrap_or(0),
                 started: e.last_start.filter(|t| *t > 0.0).map(micros),
+                weight: e.rating,
             });
             let entries = entries.collect();
             Some(Event::Listed { kind, entries })
--- a/crates/state/src/lib.rs
+++ b/crates/state/src/lib.rs
@@ -58,6 +58,8 @@
     pub status: Status,
     /// When it last started; none if long ago.
     pub started: Option<Micros>,
+    /// Its weight beside others; none if the list tells none.
+    pub weight: Option<f64>,
 }
 
 /// What a task reports.
--- a/crates/state/src/reducer.rs
+++ b/crates/state/src/reducer.rs
@@ -201,7 +201,8 @@
         let Some(flow) = self.state.flows.get_mut(job) else { return };
         let attempt = flow.attempts;
         flow.attempts += 1;
-        debug!(flow = job.0, attempt, target = worker.0, "pushed");
+        let name = self.state.targets.get(worker).map(|t| t.name.as_str());
+        debug!(flow = job.0, attempt, target = worker.0, name, "pushed");
         self.carry(worker, Load::Attempt(job, attempt));
     }
 
--- a/crates/state/src/targets.rs
+++ b/crates/state/src/targets.rs
@@ -54,9 +54,9 @@
                 stale.insert(worker);
             }
             (target.addr, target.ready) = (entry.addr, ready);
-            let Listed { zone, kind, cell, status, started, .. } = entry;
+            let Listed { zone, kind, cell, status, started, weight, .. } = entry;
             let mark = told::mark(&target.name);
-            listings.push(Listing { worker, mark, status, kind, zone, cell, started });
+            listings.push(Listing { worker, mark, status, kind, zone, cell, started, weight });
         }
         if kind != ListKind::Changes {
             let listed: BTreeSet<WorkerId> = listings.iter().map(|l| l.worker).collect();
--- a/crates/state/tests/reducer.rs
+++ b/crates/state/tests/reducer.rs
@@ -38,6 +38,7 @@
 
     fn list(&mut self, kind: ListKind, targets: impl Iterator<Item = (u32, Status)>) {
         let entry = |(n, status)| Listed {
+            weight: None,
             name: format!("s-{n}"),
             addr: ([127, 0, 0, 1], 4_000 + n as u16).into(),
             zone: 0,
