Leave the kind that settle is bound to mostly free while the rest has room

Change: the share of the jobs with a choice that keep away from the bound kind follows from the list's loads: all while the other kinds' slots are half full with all that is held anywhere, none when that would fill them. A keyed job keeps away by its key, so that its homes stay the same. Small fleets, whose lists are not read for loads, decide as before.

--- a/crates/decide/src/figures.rs
+++ b/crates/decide/src/figures.rs
@@ -2,7 +2,7 @@
 
 use super::{Dispatcher, Lane, Worker, AGEING, RUN_CAP};
 use api::*;
-use roster::Kind;
+use roster::{Kind, Loads};
 use std::collections::{BTreeMap, VecDeque};
 
 /// Progress notes missed in a row, or capped runs where there are none, after which a worker is silent.
@@ -88,6 +88,22 @@
         (self.fleet.others.0 * fade + even) / (self.fleet.others.1 * fade + 1.0)
     }
 
+    /// Takes in what a list's live weights say of the workers' loads.
+    pub(super) fn heed_weights(&mut self, list: ListKind, entries: &[Listing]) {
+        for (entry, weight) in entries.iter().filter_map(|e| Some((e, e.weight?))) {
+            let held = self.kinds.entry(entry.kind).or_default().listed(weight);
+            let told = held.filter(|_| list != ListKind::Inherited);
+            if let (Some(w), Some(held)) = (self.workers.get_mut(&entry.worker), told) {
+                (w.others, w.reported) = ((held - w.own()).max(0.0), Some(self.now));
+            }
+        }
+        let ready = || self.fleet.ready.iter().filter_map(|id| self.workers.get(id));
+        let held = ready().map(|w| w.others + w.own()).sum();
+        let slots = ready().map(|w| self.kind(w).slots() * self.warmth(w)).sum();
+        let loose = ready().filter(|w| !self.bound(w)).map(|w| self.kind(w).slots() * self.warmth(w)).sum();
+        self.fleet.loads = Loads { held, slots, loose, at: self.now };
+    }
+
     /// The share of its capacity that a worker has for certain.
     pub(super) fn warmth(&self, w: &Worker) -> f64 {
         let Some(started) = w.listing.started else { return 1.0 };
--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -389,20 +389,6 @@
         self.settings.live_weights && self.fleet.ready.len() > SAMPLE
     }
 
-    fn heed_weights(&mut self, list: ListKind, entries: &[Listing]) {
-        for (entry, weight) in entries.iter().filter_map(|e| Some((e, e.weight?))) {
-            let held = self.kinds.entry(entry.kind).or_default().listed(weight);
-            let told = held.filter(|_| list != ListKind::Inherited);
-            if let (Some(w), Some(held)) = (self.workers.get_mut(&entry.worker), told) {
-                (w.others, w.reported) = ((held - w.own()).max(0.0), Some(self.now));
-            }
-        }
-        let ready = || self.fleet.ready.iter().filter_map(|id| self.workers.get(id));
-        let held = ready().map(|w| w.others + w.own()).sum();
-        let slots = ready().map(|w| self.kind(w).slots() * self.warmth(w)).sum();
-        self.fleet.loads = Loads { held, slots, at: self.now };
-    }
-
     /// Connections to a worker that drains or is gone are given back, on the notice and after each outcome.
     fn hang_up(&mut self, worker: WorkerId, out: &mut Vec<Action>) {
         let Some(w) = self.workers.get_mut(&worker).filter(|w| !w.ready()) else { return };
@@ -449,13 +435,27 @@
         self.fleet.probe_credit = (self.fleet.probe_credit + probes).min(most);
     }
 
+    /// The share of its jobs that a class leaves to others where these run nowhere else.
+    fn yields(&self, class: usize) -> f64 {
+        let free = self.told_loads() && self.settings.classes[class].kind.is_none();
+        f64::from(u8::from(free)) * self.fleet.loads.spare()
+    }
+
+    /// Some class runs nowhere else.
+    fn bound(&self, w: &Worker) -> bool {
+        self.settings.classes.iter().any(|c| c.kind == Some(w.listing.kind))
+    }
+
     /// The open workers that are meant for the job's key.
     fn homes(&self, job: &Job) -> Vec<WorkerId> {
         let Some(key) = job.spec.key else { return vec![] };
         let kind = self.settings.classes[job.spec.class].kind;
         // A cold one that may not be sent to yet is no home where a job does not wait for its homes.
         let warm = |w: &Worker| !self.told_loads() || self.cold_ok(job, w);
-        let fits = |w: &Worker| kind.is_none_or(|k| k == w.listing.kind) && warm(w);
+        let share = kin(key, 0) as f64 / u64::MAX as f64;
+        let yields = share < self.yields(job.spec.class);
+        let fits =
+            |w: &Worker| kind.is_none_or(|k| k == w.listing.kind) && warm(w) && !(yields && self.bound(w));
         let ready = self.fleet.ready.iter().filter_map(|id| self.workers.get_key_value(id));
         let ready = ready.filter(|(_, w)| fits(w) && w.open(self.now, self.clock.grace));
         let mut homes: Vec<_> = ready.map(|(id, w)| (Reverse(kin(key, w.listing.mark)), id)).collect();
@@ -523,9 +523,7 @@
         let (id, attempt, _) = leg;
         let ran = self.settle_worker(leg, outcome);
         let Some(job) = self.jobs.get_mut(&id) else { return };
-        if let Some(a) = job.attempts.get_mut(attempt as usize) {
-            a.outcome.get_or_insert(outcome);
-        }
+        job.attempts.get_mut(attempt as usize).map(|a| a.outcome.get_or_insert(outcome));
         if job.over {
             if !job.in_flight() {
                 self.jobs.remove(&id);
@@ -833,8 +831,14 @@
             } - w.own();
             let known = fresh + (1.0 - fresh) / f64::from(self.settings.dispatchers);
             let price = self.price(w, idle);
-            let bound = self.settings.classes.iter().any(|c| c.kind == Some(w.listing.kind));
-            (room >= 1.0 - ROOM_SLACK).then_some(Candidate { id: *id, room, pace, known, price, bound })
+            (room >= 1.0 - ROOM_SLACK).then_some(Candidate {
+                id: *id,
+                room,
+                pace,
+                known,
+                price,
+                bound: self.bound(w),
+            })
         };
         ids.iter().filter_map(candidate).collect()
     }
@@ -887,7 +891,9 @@
         let rank = |c: &Candidate| job.homes.iter().position(|h| *h == c.id).unwrap_or(job.homes.len());
         // Where no news of the homes will come, there is nothing to wait for.
         let away = self.told_loads() || waited > AWAY * self.mean_run();
-        let weight = |c: &&Candidate| c.room * c.pace * KIN.powi(-(rank(c) as i32));
+        let yields = self.yields(job.spec.class);
+        let left = |c: &Candidate| if c.bound { 1.0 - yields } else { 1.0 };
+        let weight = |c: &&Candidate| c.room * c.pace * left(c) * KIN.powi(-(rank(c) as i32));
         let mut open: Vec<_> = candidates.iter().filter(fits).filter(|c| away || rank(c) < HOMES).collect();
         // To fetch what a job needs takes longer than any way to where it is kept.
         let price = |c: &Candidate| if job.homes.is_empty() { c.price } else { 0.0 };
--- a/crates/decide/tests/size.rs
+++ b/crates/decide/tests/size.rs
@@ -93,3 +93,27 @@
         assert_eq!(pushes(&rig.job(weight.to_bits(), 0, 1.0)).len(), 1, "{weight}");
     }
 }
+
+#[test]
+fn jobs_with_a_choice_leave_the_kind_that_others_are_bound_to_while_the_rest_has_room() {
+    // Found on all large days: settle, which runs on one kind alone, waited there behind jobs that run anywhere.
+    let mut config = many_told();
+    config.classes.push(Class { kind: Some(1), ..unsafe_class() });
+    for (busy, least, most) in [(0, 0, 0), (WORKERS, 10, 60)] {
+        let kinds = |l: Listing| Listing { kind: l.worker.0 % 2, ..l };
+        let mut rig = Rig::new(config.clone(), 0);
+        rig.list(ListKind::Inherited, list(0).into_iter().map(kinds).collect());
+        rig.list(ListKind::Changes, list(busy).into_iter().map(kinds).collect());
+        let mut bound = 0;
+        for id in 0..60 {
+            rig.now += 10 * MS;
+            rig.key = Some(id);
+            let pushed = pushes(&rig.job(id, 0, 1.0));
+            bound += pushed.iter().filter(|(_, w)| w.0 % 2 == 1).count();
+            rig.ended(id, 0, pushed[0].1, Outcome::Done);
+        }
+        assert!((least..=most).contains(&bound), "{busy} busy: {bound} of 60");
+        rig.key = None;
+        assert!(pushes(&rig.job(100, 1, 1.0)).iter().all(|(_, w)| w.0 % 2 == 1), "it has no other place");
+    }
+}
--- a/crates/roster/src/load.rs
+++ b/crates/roster/src/load.rs
@@ -27,11 +27,24 @@
     pub held: f64,
     /// Slots that there are, a cold worker's counted by its warmth.
     pub slots: f64,
+    /// Those of them at workers that no class is bound to.
+    pub loose: f64,
     /// When the list came.
     pub at: Micros,
 }
 
 impl Loads {
+    /// The share of the jobs with a choice, 0 to 1, that is better kept from workers that others are bound to: all
+    /// while the loose slots are half full with all that is held, none when that would fill them.
+    pub fn spare(&self) -> f64 {
+        let filled = self.held / self.loose;
+        if filled.is_finite() {
+            (2.0 - 2.0 * filled).clamp(0.0, 1.0)
+        } else {
+            0.0
+        }
+    }
+
     /// Up to how many times its slots a worker may be filled, so that all of them take what comes until loads are
     /// known again: with slots held for `run` microseconds each, that is as often what is held as `run` goes into
     /// the loads' age. At least 1: while little is held, any free slot is as good as another.
--- a/crates/roster/tests/load.rs
+++ b/crates/roster/tests/load.rs
@@ -16,7 +16,7 @@
 
 #[test]
 fn the_older_loads_are_the_higher_is_the_level_that_all_come_to() {
-    let loads = Loads { held: 180.0, slots: 360.0, at: 0 };
+    let loads = Loads { held: 180.0, slots: 360.0, loose: 200.0, at: 0 };
     assert_eq!(loads.level(0, 500_000.0), 1.5, "half is held, and a second is two runs");
     assert_eq!(loads.level(1_000_000, 500_000.0), 2.5);
     assert_eq!(Loads { held: 1.0, ..loads }.level(0, 500_000.0), 1.0, "a free slot is as good as another");
@@ -35,3 +35,12 @@
     kind.seen(9.0);
     assert_eq!(kind.slots(), 9.0);
 }
+
+#[test]
+fn what_has_a_choice_leaves_a_bound_kind_alone_as_far_as_the_rest_has_room() {
+    let spare = |held, loose| Loads { held, slots: 360.0, loose, at: 0 }.spare();
+    assert_eq!([spare(50.0, 200.0), spare(100.0, 200.0)], [1.0, 1.0], "half of the rest is enough");
+    assert_eq!(spare(150.0, 200.0), 0.5);
+    assert_eq!([spare(200.0, 200.0), spare(900.0, 200.0)], [0.0, 0.0], "all are needed");
+    assert_eq!([spare(0.0, 0.0), spare(f64::NAN, 1.0)], [0.0, 0.0], "there is no rest");
+}
