--- a/crates/roster/src/load.rs
+++ b/crates/roster/src/load.rs
@@ -35,12 +35,12 @@
 
 impl Loads {
     /// The share of the jobs with a choice, 0 to 1, that is better kept from workers that others are bound to: all
-    /// until what is held anywhere would fill the loose slots, none once it would fill them one and a half times. What
-    /// queues there is called off when it is late; what is bound has no other place.
+    /// until what is held anywhere would fill the loose slots one and a half times, none once it would fill them twice.
+    /// What queues there is called off when it is late; what is bound has no other place.
     pub fn spare(&self) -> f64 {
         let filled = self.held / self.loose;
         if filled.is_finite() {
-            (3.0 - 2.0 * filled).clamp(0.0, 1.0)
+            (4.0 - 2.0 * filled).clamp(0.0, 1.0)
         } else {
             0.0
         }
