Log failed calls to discovery once in ten seconds, with how many were kept back

Change: the first failure is a warning, then one in ten seconds with the number kept back; the others are debug lines.

--- a/crates/discovery/src/lib.rs
+++ b/crates/discovery/src/lib.rs
@@ -1,5 +1,7 @@
 //! The client of discovery: asks for the list of targets and watches it.
 
+mod seldom;
+
 use api::told;
 use api::{ListKind, Micros, Status};
 use bytes::Bytes;
@@ -101,7 +103,7 @@
     desk: Rc<Desk>,
     mut wanted: mpsc::UnboundedReceiver<Option<u64>>,
 ) {
-    let mut link = None;
+    let (mut link, mut seldom) = (None, seldom::Seldom::default());
     // Another discovery may count its versions in another way: the whole list is asked for first.
     let mut whole = false;
     loop {
@@ -137,7 +139,10 @@
                     }
                 }
                 Err(e) => {
-                    warn!("a call to discovery failed: {e}");
+                    match seldom.failed(desk.clock().now()) {
+                        Some(kept_back) => warn!(kept_back, "a call to discovery failed: {e}"),
+                        None => debug!("a call to discovery failed: {e}"),
+                    }
                     // Only one watch at a time: what was asked for amid this one is answered by its failure.
                     while wanted.try_recv().is_ok() {}
                     desk.report(Input::ListFailed);
