Believe no weight of a list that a machine can't have; pace calls without all settings

Seen on reading the change again: the size of a kind is the largest weight seen, without a bound. One weight of 1e300 made all others of its kind look full for good, and jobs for it were held until they were given up.

Change: weights over 1024 are none, like those below 0 and those that are no number; two tests tried 1e300.

Still open: a single lying weight of up to 1024 raises the size of its kind until the dispatcher restarts.

--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -322,7 +322,8 @@
         let rng = Pcg64Mcg::seed_from_u64(seed);
         let budget = Budget { rule: settings.rules.retry_budget, ..Budget::default() };
         let (now, workers, jobs, held, kinds, fleet) = Default::default();
-        let clock = Clock { grace, ask: Pace::new(&settings), ..Clock::default() };
+        let ask = Pace::new(settings.dispatchers, settings.discovery);
+        let clock = Clock { grace, ask, ..Clock::default() };
         Ok(Dispatcher { settings, rng, now, clock, workers, jobs, held, classes, kinds, budget, fleet })
     }
 
--- a/crates/decide/tests/size.rs
+++ b/crates/decide/tests/size.rs
@@ -86,7 +86,7 @@
 fn a_weight_that_is_none_counts_as_none() {
     let mut rig = Rig::new(many_told(), 0);
     rig.list(ListKind::Inherited, list(0));
-    for weight in [f64::NAN, f64::INFINITY, -1.0, 0.0] {
+    for weight in [f64::NAN, f64::INFINITY, -1.0, 0.0, 1.0e300] {
         let odd = (0..WORKERS).map(|w| Listing { weight: Some(weight), ..listing(w) }).collect();
         rig.list(ListKind::Changes, odd);
         rig.now += 100 * MS;
--- a/crates/roster/src/kind.rs
+++ b/crates/roster/src/kind.rs
@@ -1,6 +1,6 @@
 //! What is known of the workers of one machine kind.
 
-use crate::load::held_per_core;
+use crate::load::{held_per_core, sound};
 
 /// Slots of a worker before anything is known of any.
 const BASE_SLOTS: f64 = 4.0;
@@ -37,7 +37,7 @@
     /// A list gave one of them this live weight. Returns the slots that seem to have been held there; none if the
     /// weight says nothing.
     pub fn listed(&mut self, weight: f64) -> Option<f64> {
-        let weight = Some(weight).filter(|w| w.is_finite() && *w > 0.0)?;
+        let weight = Some(weight).filter(|w| sound(*w))?;
         self.size = self.size.max(weight);
         Some(WIDE * self.slots() * held_per_core(self.size, weight)?)
     }
--- a/crates/roster/src/lib.rs
+++ b/crates/roster/src/lib.rs
@@ -19,7 +19,7 @@
 pub use load::{held_per_core, Loads};
 pub use reach::Reach;
 
-use api::{Discovery, Micros, Settings};
+use api::{Discovery, Micros};
 
 /// Room that is left to each dispatcher beyond two for one call to discovery. It must be no less than a turn of
 /// discovery takes, or a start of all together fills its queue; the longer, the later a restarted dispatcher learns
@@ -46,10 +46,10 @@
 }
 
 impl Pace {
-    /// For a dispatcher with these settings; none where the list arrives unasked.
-    pub fn new(settings: &Settings) -> Option<Self> {
-        let Discovery::OnRequest { ask_within } = settings.discovery else { return None };
-        let many = u64::from(settings.dispatchers.saturating_sub(2));
+    /// For one of so many dispatchers; none where the list arrives unasked.
+    pub fn new(dispatchers: u32, discovery: Discovery) -> Option<Self> {
+        let Discovery::OnRequest { ask_within } = discovery else { return None };
+        let many = u64::from(dispatchers.saturating_sub(2));
         Some(Pace { many, ask_within, failures: None })
     }
 
--- a/crates/roster/src/load.rs
+++ b/crates/roster/src/load.rs
@@ -7,11 +7,19 @@
 
 use api::Micros;
 
+/// The largest weight that is believed: no machine has so many cores, and one absurd size would have all others of its
+/// kind look full.
+const LARGEST: f64 = 1024.0;
+
+/// Whether this is a weight that a worker may have.
+pub(crate) fn sound(weight: f64) -> bool {
+    weight > 0.0 && weight <= LARGEST
+}
+
 /// Requests that a worker held for each of its cores when this weight was made, where weights are live: its size
 /// divided by 1 + that number. `size` is the largest weight seen of its kind, since sizes are told nowhere; both are
 /// without unit. None if either is no weight.
 pub fn held_per_core(size: f64, weight: f64) -> Option<f64> {
-    let sound = |weight: f64| weight.is_finite() && weight > 0.0;
     (sound(size) && sound(weight)).then(|| (size / weight - 1.0).max(0.0))
 }
 
--- a/crates/roster/tests/herd.rs
+++ b/crates/roster/tests/herd.rs
@@ -1,6 +1,6 @@
 //! A hundred dispatchers before one discovery that handles their calls in turn.
 
-use api::{Discovery, Goal, Limits, Micros, Reports, Rules, Settings};
+use api::{Discovery, Micros};
 use rand_pcg::rand_core::{RngCore, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 use roster::Pace;
@@ -10,49 +10,8 @@
 const MS: Micros = 1_000;
 const SECOND: Micros = 1_000 * MS;
 
-fn settings(dispatchers: u32, discovery: Discovery) -> Settings {
-    Settings {
-        dispatchers,
-        zone: 0,
-        classes: vec![],
-        tenants: vec![],
-        goal: Goal { overall: 1.0, worst_window: 0.0, worst_class: 0.0, worst_tenant: 0.0 },
-        worth_by_work: false,
-        over_share_worth: 1.0,
-        waste_price: 0.0,
-        discovery,
-        reports: Reports::Probes,
-        start_notices: true,
-        progress_every: None,
-        live_weights: false,
-        limits: Limits {
-            attempts: 3,
-            concurrent_attempts: false,
-            cancel: true,
-            probe: true,
-            probe_price: 0.0,
-            cross_zone_price: 0.0,
-            connect_price: 0.0,
-            connection_idle: 10 * SECOND,
-            tell: 0,
-            tell_price: 0.0,
-            retry_after: None,
-        },
-        rules: Rules {
-            cold_for: 24 * SECOND,
-            start_capacity: 0.12,
-            tip_multiple: 3.0,
-            tip_window: SECOND,
-            retry_budget: None,
-            refusal_inconclusive: false,
-            close_on_drain: None,
-        },
-        tick: 5 * MS,
-    }
-}
-
 fn pace(dispatchers: u32) -> Pace {
-    Pace::new(&settings(dispatchers, Discovery::OnRequest { ask_within: 10 * SECOND })).unwrap()
+    Pace::new(dispatchers, Discovery::OnRequest { ask_within: 10 * SECOND }).unwrap()
 }
 
 fn unit(rng: &mut Pcg64Mcg) -> f64 {
@@ -181,5 +140,5 @@
         assert!(pace.pause(1.0, 1.0) <= 5 * SECOND, "{dispatchers}");
         assert!((0..100).all(|_| pace.pause(1.0, 1.0) < 40 * SECOND), "{dispatchers}");
     }
-    assert!(Pace::new(&settings(100, Discovery::Pushed)).is_none(), "nobody needs to be asked");
+    assert!(Pace::new(100, Discovery::Pushed).is_none(), "nobody needs to be asked");
 }
--- a/crates/roster/tests/load.rs
+++ b/crates/roster/tests/load.rs
@@ -7,7 +7,7 @@
     assert_eq!(held_per_core(7.5, 7.5), Some(0.0));
     assert_eq!(held_per_core(7.5, 2.5), Some(2.0));
     assert_eq!(held_per_core(7.5, 8.0), Some(0.0), "never less than nothing");
-    for bad in [0.0, -1.0, f64::NAN, f64::INFINITY] {
+    for bad in [0.0, -1.0, f64::NAN, f64::INFINITY, 1.0e300] {
         assert_eq!(held_per_core(7.5, bad), None);
         assert_eq!(held_per_core(bad, 7.5), None);
         assert_eq!(Kind::default().listed(bad), None);
