--- /dev/null
+++ b/crates/admin/src/figures.rs
@@ -0,0 +1,64 @@
+//! What is counted, as Prometheus text.
+
+use crate::view::Levels;
+use metrics::{counter, describe_counter, describe_gauge, gauge};
+use metrics_exporter_prometheus::{BuildError, PrometheusBuilder, PrometheusHandle};
+use state::Seen;
+
+/// Sets up what counts, for the whole program. To be called before anything counts.
+///
+/// # Errors
+/// Another one was set up before.
+pub fn recorder() -> Result<PrometheusHandle, BuildError> {
+    let handle = PrometheusBuilder::new().install_recorder()?;
+    describe_counter!("svc_responses", "Jobs that have ended, by class and by what they were answered as");
+    describe_counter!("svc_tries", "Attempts whose last byte went out to a target, by class");
+    describe_gauge!("svc_active", "Jobs taken and not yet ended");
+    describe_gauge!("svc_pool_size", "Targets in the list");
+    describe_gauge!("svc_pool_ejected", "Listed targets that get nothing for now, by hand or by choice");
+    describe_counter!("fordrelay_clients_gone_total", "Jobs whose clients left before an answer, by class");
+    describe_counter!("fordrelay_fixed_responses_total", "Requests that were never taken, by status");
+    describe_counter!("fordrelay_attempts_refused_total", "Attempts turned away, or not connected");
+    describe_counter!("fordrelay_jobs_over_total", "Jobs that are over, by class");
+    describe_counter!("fordrelay_jobs_in_time_total", "Jobs served in time, by class");
+    describe_counter!("fordrelay_jobs_turned_away_total", "Jobs that a level turned away, by class");
+    describe_gauge!("fordrelay_level", "The level in force, 0 for full service");
+    describe_gauge!("fordrelay_level_figure", "Figures that levels are entered and left by");
+    describe_gauge!("fordrelay_own_slots", "Slots that own jobs hold at targets");
+    describe_gauge!("fordrelay_targets", "Ready targets, by kind, and whether they answer");
+    Ok(handle)
+}
+
+/// Lays out what there is to see, with classes of these names. Their number bounds the lines.
+pub(crate) fn export(seen: &Seen, classes: &[String]) {
+    for (name, class) in classes.iter().zip(&seen.counts.classes) {
+        for (result, count) in [("ok", class.ok), ("shed", class.shed), ("errors", class.errors)] {
+            counter!("svc_responses", "kind" => name.clone(), "result" => result).absolute(count);
+        }
+        counter!("svc_tries", "kind" => name.clone()).absolute(class.tries);
+        counter!("fordrelay_clients_gone_total", "class" => name.clone()).absolute(class.gone);
+    }
+    gauge!("svc_active").set(seen.counts.active() as f64);
+    gauge!("svc_pool_size").set(seen.listed as f64);
+    gauge!("svc_pool_ejected").set(seen.avoided as f64);
+    let figures = &seen.status.figures;
+    counter!("fordrelay_attempts_refused_total").absolute(figures.refused);
+    gauge!("fordrelay_own_slots").set(figures.own);
+    for (name, class) in classes.iter().zip(&figures.classes) {
+        counter!("fordrelay_jobs_over_total", "class" => name.clone()).absolute(class.over);
+        counter!("fordrelay_jobs_in_time_total", "class" => name.clone()).absolute(class.in_time);
+        counter!("fordrelay_jobs_turned_away_total", "class" => name.clone()).absolute(class.turned_away);
+    }
+    for kind in &figures.kinds {
+        for (answers, count) in [("yes", kind.answering), ("no", kind.silent)] {
+            let labels = [("kind", kind.kind.to_string()), ("answers", answers.to_owned())];
+            gauge!("fordrelay_targets", &labels).set(count);
+        }
+    }
+    let Some(levels) = Levels::new(&seen.status, classes) else { return };
+    gauge!("fordrelay_level").set(levels.rank as f64);
+    for figure in levels.figures {
+        let labels = [("figure", figure.figure), ("class", figure.class.unwrap_or_default())];
+        gauge!("fordrelay_level_figure", &labels).set(figure.value.unwrap_or(0.0));
+    }
+}
--- a/crates/admin/src/lib.rs
+++ b/crates/admin/src/lib.rs
@@ -1,9 +1,13 @@
-//! The operators' listener: what level is in force and why, figures in Prometheus' text format, and a level asked
-//! for by hand. It listens apart from the clients', asks nobody who they are, and is off unless it is set.
+//! The second address: the platform's calls (`/-/...`) and the operators' own, from one server with one table.
+//!
+//! It listens apart from the clients', asks nobody who they are, and is off unless an address is given.
 
+mod calls;
 mod client;
+mod figures;
 mod server;
 pub mod view;
 
 pub use client::{ask, ClientError};
-pub use server::{recorder, Server, Terms};
+pub use figures::recorder;
+pub use server::{start, Bounds};
--- a/crates/admin/src/server.rs
+++ b/crates/admin/src/server.rs
@@ -1,72 +1,61 @@
-//! The listener.
+//! The server of calls, on a thread of its own: the loop that carries jobs may be behind by more than a caller waits.
 
+use crate::calls::{call, Call, NoCall};
+use crate::figures::export;
 use crate::view::Levels;
 use api::Micros;
 use bytes::Bytes;
-use desk::Desk;
-use http_body_util::Full;
+use desk::{Ask, Window};
+use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
 use hyper::header::{HeaderValue, ALLOW, CONTENT_TYPE};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
-use hyper::{Method, Request, Response, StatusCode};
+use hyper::{Request, Response, StatusCode};
 use hyper_util::rt::{TokioIo, TokioTimer};
-use levels::Status;
-use metrics::{counter, describe_counter, describe_gauge, gauge};
-use metrics_exporter_prometheus::{BuildError, PrometheusBuilder, PrometheusHandle};
-use state::Input;
-use std::cell::Cell;
+use metrics_exporter_prometheus::PrometheusHandle;
+use state::Seen;
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
 use std::convert::Infallible;
+use std::io;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::Notify;
+use tokio::task::{spawn_local, LocalSet};
 use tracing::{debug, warn};
 
-/// Largest head of a request; there are no bodies.
+/// Largest head of a request.
 const LARGEST_HEAD: usize = 8 * 1024;
+/// Largest body; none is looked at.
+const LARGEST_BODY: usize = 8 * 1024;
 /// How long to wait before accepting again after the system could not.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 /// A level is forced for so long where the request does not say.
 const FORCED_MS: u64 = 600_000;
-
-/// What the listener keeps to.
-#[derive(Debug, Clone)]
-pub struct Terms {
-    /// Connections that may be open together; one more is closed at once.
+/// How long the loop may take to show what it knows before what it laid out last is shown.
+const LOOK_WAIT: Duration = Duration::from_millis(300);
+/// ... and to do what it is asked: a caller waits 1 s.
+const ASK_WAIT: Duration = Duration::from_millis(800);
+/// How long an answer may take to be read.
+const READ_WAIT: Duration = Duration::from_secs(2);
+
+/// What a listener keeps to.
+#[derive(Debug, Clone, Copy)]
+pub struct Bounds {
+    /// Connections that may be open together; one more closes the one that has waited longest for a whole request.
     pub connections: usize,
     /// A connection is closed when no request has come whole for so long.
     pub request_wait: Duration,
-    /// Names of the classes.
-    pub classes: Vec<String>,
-}
-
-/// Sets up what counts, for the whole program. To be called before anything counts.
-///
-/// # Errors
-/// Another one was set up before.
-pub fn recorder() -> Result<PrometheusHandle, BuildError> {
-    let handle = PrometheusBuilder::new().install_recorder()?;
-    describe_counter!("fordrelay_answers_total", "Final answers, by what they were");
-    describe_counter!("fordrelay_fixed_responses_total", "Requests that were never taken, by status");
-    describe_counter!("fordrelay_attempts_total", "Attempts sent to targets");
-    describe_counter!("fordrelay_attempts_refused_total", "Attempts turned away, or not connected");
-    describe_counter!("fordrelay_jobs_over_total", "Jobs that are over, by class");
-    describe_counter!("fordrelay_jobs_in_time_total", "Jobs served in time, by class");
-    describe_counter!("fordrelay_jobs_turned_away_total", "Jobs that a level turned away, by class");
-    describe_gauge!("fordrelay_level", "The level in force, 0 for full service");
-    describe_gauge!("fordrelay_level_figure", "Figures that levels are entered and left by");
-    describe_gauge!("fordrelay_open_flows", "Flows that wait for their answer");
-    describe_gauge!("fordrelay_own_slots", "Slots that own jobs hold at targets");
-    describe_gauge!("fordrelay_targets", "Ready targets, by kind, and whether they answer");
-    Ok(handle)
 }
 
-/// The operators' listener.
+/// Answers the calls on every socket that it is given.
 pub struct Server {
-    desk: Rc<Desk>,
-    terms: Terms,
+    window: Window,
     metrics: PrometheusHandle,
-    open: Cell<usize>,
+    /// Names of the classes.
+    classes: Vec<String>,
 }
 
 type Reply = Response<Full<Bytes>>;
@@ -82,73 +71,141 @@
     reply(status, "text/plain; charset=utf-8", text.into() + "\n")
 }
 
-impl Server {
-    /// A listener that does not listen yet.
-    pub fn new(desk: Rc<Desk>, terms: Terms, metrics: PrometheusHandle) -> Rc<Self> {
-        Rc::new(Server { desk, terms, metrics, open: Cell::new(0) })
-    }
-
-    /// Accepts connections for as long as the program runs.
-    pub async fn accept(self: Rc<Self>, socket: TcpListener) {
-        loop {
-            match socket.accept().await {
-                Ok((stream, _)) if self.open.get() < self.terms.connections => {
-                    self.open.set(self.open.get() + 1);
-                    tokio::task::spawn_local(Rc::clone(&self).connection(stream));
+/// Answers calls on these sockets, on a thread of its own, for as long as the program runs.
+///
+/// # Errors
+/// What the system refuses.
+pub fn start(
+    window: Window,
+    metrics: PrometheusHandle,
+    classes: Vec<String>,
+    sockets: Vec<(std::net::TcpListener, Bounds)>,
+) -> io::Result<()> {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+    sockets.iter().try_for_each(|(socket, _)| socket.set_nonblocking(true))?;
+    let server = move || {
+        let server = Rc::new(Server { window, metrics, classes });
+        LocalSet::new().block_on(&runtime, async {
+            for (socket, bounds) in sockets {
+                match TcpListener::from_std(socket) {
+                    Ok(socket) => drop(spawn_local(Rc::clone(&server).accept(socket, bounds))),
+                    Err(e) => warn!("operators can't be answered: {e}"),
                 }
-                Ok(_) => debug!("an operator's connection over the limit is closed"),
-                Err(e) => {
-                    warn!("can't accept an operator's connection: {e}");
-                    tokio::time::sleep(ACCEPT_PAUSE).await;
+            }
+            std::future::pending::<()>().await;
+        });
+    };
+    std::thread::Builder::new().name("admin".into()).spawn(server).map(drop)
+}
+
+/// One connection, as far as others need its room.
+struct Open {
+    /// Its request has not come whole.
+    waits: Cell<bool>,
+    cut: Notify,
+}
+
+type Opens = Rc<RefCell<BTreeMap<u64, Rc<Open>>>>;
+
+impl Server {
+    async fn accept(self: Rc<Self>, socket: TcpListener, bounds: Bounds) {
+        let opens = Opens::default();
+        for number in 0.. {
+            let stream = loop {
+                match socket.accept().await {
+                    Ok((stream, _)) => break stream,
+                    Err(e) => {
+                        warn!("can't accept an operator's connection: {e}");
+                        tokio::time::sleep(ACCEPT_PAUSE).await;
+                    }
                 }
+            };
+            let longest = opens.borrow().values().find(|open| open.waits.get()).cloned();
+            if opens.borrow().len() >= bounds.connections {
+                let Some(longest) = longest else {
+                    debug!("an operator's connection over the limit is closed");
+                    continue;
+                };
+                longest.cut.notify_one();
+                // No more of it counts: it is closed as soon as this thread is at it.
+                longest.waits.set(false);
+                opens.borrow_mut().retain(|_, open| !Rc::ptr_eq(open, &longest));
             }
+            let open = Rc::new(Open { waits: Cell::new(true), cut: Notify::new() });
+            opens.borrow_mut().insert(number, Rc::clone(&open));
+            let (server, opens) = (Rc::clone(&self), Rc::clone(&opens));
+            spawn_local(async move {
+                tokio::select! {
+                    biased;
+                    () = open.cut.notified() => debug!("an operator's connection that asks nothing makes room"),
+                    () = server.connection(stream, &open, bounds) => {}
+                }
+                opens.borrow_mut().remove(&number);
+            });
         }
     }
 
-    async fn connection(self: Rc<Self>, stream: TcpStream) {
-        let service = service_fn(|request| self.respond(request));
+    async fn connection(&self, stream: TcpStream, open: &Open, bounds: Bounds) {
+        let service = service_fn(|request| async {
+            open.waits.set(false);
+            self.respond(request).await
+        });
         let served = http1::Builder::new()
             .timer(TokioTimer::new())
-            .header_read_timeout(self.terms.request_wait)
+            .header_read_timeout(bounds.request_wait)
             .max_buf_size(LARGEST_HEAD)
-            .serve_connection(TokioIo::new(stream), service)
-            .await;
-        if let Err(e) = served {
-            debug!("an operator's connection ended: {e}");
+            .keep_alive(false)
+            .serve_connection(TokioIo::new(stream), service);
+        match tokio::time::timeout(bounds.request_wait + READ_WAIT, served).await {
+            Ok(Ok(())) => {}
+            Ok(Err(e)) => debug!("an operator's connection ended: {e}"),
+            Err(_) => debug!("an operator's connection took too long"),
         }
-        self.open.set(self.open.get() - 1);
     }
 
     async fn respond(&self, request: Request<Incoming>) -> Result<Reply, Infallible> {
-        let method = request.method();
-        let (get, post) = (method == Method::GET, method == Method::POST);
-        Ok(match request.uri().path() {
-            "/levels" if get => self.levels().await,
-            "/metrics" if get => self.metrics().await,
-            "/levels/force" if post => self.force(request.uri().query().unwrap_or("")).await,
-            "/levels" | "/metrics" => not_allowed("GET"),
-            "/levels/force" => not_allowed("POST"),
-            _ => plain(
+        let (head, body) = request.into_parts();
+        if Limited::new(body, LARGEST_BODY).collect().await.is_err() {
+            return Ok(plain(StatusCode::BAD_REQUEST, "the body did not come whole, or is too long"));
+        }
+        Ok(match call(head.method.as_str(), head.uri.path()) {
+            Ok(Call::Ready) if self.window.ready() => plain(StatusCode::OK, "ready"),
+            Ok(Call::Ready) => plain(StatusCode::SERVICE_UNAVAILABLE, "not ready to serve"),
+            Ok(Call::Metrics) => {
+                export(&*self.window.look(LOOK_WAIT).await, &self.classes);
+                reply(StatusCode::OK, "text/plain; version=0.0.4", self.metrics.render())
+            }
+            Ok(Call::Levels) => self.show(&*self.window.look(LOOK_WAIT).await),
+            Ok(Call::Force) => self.force(head.uri.query().unwrap_or("")).await,
+            Ok(Call::Rule { target, out }) => self.rule(target, out).await,
+            Err(NoCall::Method(by)) => {
+                let mut reply = plain(StatusCode::METHOD_NOT_ALLOWED, format!("only {by}"));
+                reply.headers_mut().insert(ALLOW, HeaderValue::from_static(by));
+                reply
+            }
+            Err(NoCall::Malformed(why)) => plain(StatusCode::BAD_REQUEST, why),
+            Err(NoCall::Path) => plain(
                 StatusCode::NOT_FOUND,
-                "here are GET /levels, GET /metrics, and POST /levels/force?level=NAME&for_ms=600000",
+                "here are GET /-/ready, GET /-/metrics, PUT /-/runners/ID/disable, PUT /-/runners/ID/enable, \
+                 GET /levels, and POST /levels/force?level=NAME&for_ms=600000",
             ),
         })
     }
 
-    async fn status(&self) -> Result<Status, Reply> {
-        let busy = || plain(StatusCode::SERVICE_UNAVAILABLE, "too many ask at once; try again");
-        self.desk.status().await.ok_or_else(busy)
-    }
-
-    async fn levels(&self) -> Reply {
-        match self.status().await {
-            Ok(status) => self.show(&status),
-            Err(busy) => busy,
+    async fn rule(&self, target: String, out: bool) -> Reply {
+        let word = if out { "disabled" } else { "enabled" };
+        match self.window.ask(ASK_WAIT, |answer| Ask::Rule(target.clone(), out, answer)).await {
+            Some(true) => plain(StatusCode::OK, format!("{target} is {word}")),
+            Some(false) => plain(StatusCode::NOT_FOUND, format!("{target:?} was never in the list")),
+            None => plain(
+                StatusCode::SERVICE_UNAVAILABLE,
+                format!("{target:?} may not be {word} yet; it will be shortly, or call again"),
+            ),
         }
     }
 
-    fn show(&self, status: &Status) -> Reply {
-        match Levels::new(status, &self.terms.classes).map(|l| serde_json::to_string(&l)) {
+    fn show(&self, seen: &Seen) -> Reply {
+        match Levels::new(&seen.status, &self.classes).map(|l| serde_json::to_string(&l)) {
             Some(Ok(text)) => reply(StatusCode::OK, "application/json", text + "\n"),
             Some(Err(e)) => plain(StatusCode::INTERNAL_SERVER_ERROR, e.to_string()),
             None => {
@@ -159,11 +216,8 @@
 
     /// `level=NAME` or `level=auto`, and `for_ms`.
     async fn force(&self, query: &str) -> Reply {
-        let status = match self.status().await {
-            Ok(status) => status,
-            Err(busy) => return busy,
-        };
-        let Some(spec) = status.levels.as_ref().map(|l| &l.spec) else { return self.show(&status) };
+        let seen = self.window.look(LOOK_WAIT).await;
+        let Some(spec) = seen.status.levels.as_ref().map(|l| &l.spec) else { return self.show(&seen) };
         let value = |key: &str| query.split('&').find_map(|pair| pair.strip_prefix(key)?.strip_prefix('='));
         let bad = |text: String| plain(StatusCode::BAD_REQUEST, text);
         let span = match value("for_ms").map(str::parse) {
@@ -182,46 +236,9 @@
             },
             None => return bad("level is missing, as in level=full or level=auto".into()),
         };
-        self.desk.report(Input::Force(wanted));
-        self.levels().await
-    }
-
-    async fn metrics(&self) -> Reply {
-        match self.status().await {
-            Ok(status) => self.export(&status),
-            Err(busy) => return busy,
+        match self.window.ask(ASK_WAIT, |answer| Ask::Force(wanted, answer)).await {
+            Some(seen) => self.show(&seen),
+            None => plain(StatusCode::SERVICE_UNAVAILABLE, "the dispatcher is busy; try again"),
         }
-        reply(StatusCode::OK, "text/plain; version=0.0.4", self.metrics.render())
     }
-
-    fn export(&self, status: &Status) {
-        let figures = &status.figures;
-        counter!("fordrelay_attempts_total").absolute(figures.sent);
-        counter!("fordrelay_attempts_refused_total").absolute(figures.refused);
-        gauge!("fordrelay_open_flows").set(self.desk.open_flows() as f64);
-        gauge!("fordrelay_own_slots").set(figures.own);
-        for (name, class) in self.terms.classes.iter().zip(&figures.classes) {
-            counter!("fordrelay_jobs_over_total", "class" => name.clone()).absolute(class.over);
-            counter!("fordrelay_jobs_in_time_total", "class" => name.clone()).absolute(class.in_time);
-            counter!("fordrelay_jobs_turned_away_total", "class" => name.clone()).absolute(class.turned_away);
-        }
-        for kind in &figures.kinds {
-            for (answers, count) in [("yes", kind.answering), ("no", kind.silent)] {
-                let labels = [("kind", kind.kind.to_string()), ("answers", answers.to_owned())];
-                gauge!("fordrelay_targets", &labels).set(count);
-            }
-        }
-        let Some(levels) = Levels::new(status, &self.terms.classes) else { return };
-        gauge!("fordrelay_level").set(levels.rank as f64);
-        for figure in levels.figures {
-            let labels = [("figure", figure.figure), ("class", figure.class.unwrap_or_default())];
-            gauge!("fordrelay_level_figure", &labels).set(figure.value.unwrap_or(0.0));
-        }
-    }
-}
-
-fn not_allowed(method: &'static str) -> Reply {
-    let mut reply = plain(StatusCode::METHOD_NOT_ALLOWED, format!("only {method}"));
-    reply.headers_mut().insert(ALLOW, HeaderValue::from_static(method));
-    reply
 }
--- a/crates/api/src/lib.rs
+++ b/crates/api/src/lib.rs
@@ -594,6 +594,8 @@
     pub sent: u64,
     /// ... and of these, turned away by their workers.
     pub refused: u64,
+    /// Workers that are ready by their list and get nothing for now.
+    pub avoided: usize,
 }
 
 /// What a dispatcher does.
--- a/crates/decide/src/figures.rs
+++ b/crates/decide/src/figures.rs
@@ -133,6 +133,12 @@
         self.work(held) / self.fleet.own.max(self.fleet.ready.len() as f64).max(1.0)
     }
 
+    /// Ready workers that get nothing for now: their back-off runs, or they owe an answer for too long.
+    fn avoided(&self) -> usize {
+        let ready = self.fleet.ready.iter().filter_map(|id| self.workers.get(id));
+        ready.filter(|w| !w.open(self.now, self.clock.grace)).count()
+    }
+
     /// What is believed and counted, for those who watch over the service.
     pub fn figures(&self) -> Figures {
         let patience = self.patience();
@@ -156,6 +162,7 @@
             open: self.jobs.len(),
             sent,
             refused,
+            avoided: self.avoided(),
         }
     }
 }
--- a/crates/desk/src/lib.rs
+++ b/crates/desk/src/lib.rs
@@ -2,21 +2,24 @@
 //! carries out what it asks for. It knows no protocol; each reports here and is ordered from here.
 
 mod clock;
+mod window;
 
 pub use clock::Clock;
+use window::Reply;
+pub use window::{Ask, Window};
 
 use api::{JobId, JobSpec, Micros};
 use bytes::Bytes;
-use levels::Status;
-use metrics::{counter, Counter};
 use settings::report::ReportNames;
-use state::{reduce, Answer, ConnId, Effect, Input, State};
+use state::{reduce, Answer, ConnId, Effect, Input, Seen, State};
 use std::cell::{Cell, RefCell};
 use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::sync::atomic::AtomicBool;
+use std::sync::Arc;
 use std::time::Duration;
-use tokio::sync::{mpsc, oneshot};
+use tokio::sync::{mpsc, oneshot, watch};
 use tracing::debug;
 
 /// What is open together at most.
@@ -101,41 +104,37 @@
     fn watch(&self, after: Option<u64>);
     /// Sends a message to every other dispatcher.
     fn tell(&self, message: &[u8]);
+    /// Keeps the operators' word on targets for whatever process comes after this one.
+    fn keep(&self, state: &State);
 }
 
-/// Questions about the state that may wait together.
-const QUESTIONS: usize = 16;
+/// What operators ask that may wait together.
+const ASKS: usize = 32;
+/// How often the figures are laid out for operators.
+const LAY_OUT: Micros = 200_000;
 
 /// What is reported to the desk, for the loop.
 pub struct Reports {
     inputs: mpsc::UnboundedReceiver<Input>,
-    questions: mpsc::Receiver<oneshot::Sender<Status>>,
+    asks: mpsc::Receiver<Ask>,
+    seen: Option<watch::Sender<Arc<Seen>>>,
 }
 
-/// Final answers, by what they were.
-struct Answers {
-    served: Counter,
-    refused: Counter,
-    failed: Counter,
-    unusable: Counter,
-}
-
-impl Answers {
-    fn count(&self, answer: &Answer) {
-        match answer {
-            Answer::Served(_) => self.served.increment(1),
-            Answer::Refused { .. } => self.refused.increment(1),
-            Answer::Failed => self.failed.increment(1),
-            Answer::Unusable => self.unusable.increment(1),
-        }
+impl Reports {
+    /// What operators look through, for as long as the loop runs. To be called once at most: without it nothing is
+    /// laid out.
+    pub fn window(&mut self, state: &State, desk: &Desk) -> Window {
+        let (sender, seen) = watch::channel(Arc::new(state.seen()));
+        self.seen = Some(sender);
+        Window { asks: desk.asks.clone(), seen, ready: Arc::clone(&desk.ready) }
     }
 }
 
 /// What the protocols share: where inputs go, and the flows that wait.
 pub struct Desk {
     inputs: mpsc::UnboundedSender<Input>,
-    questions: mpsc::Sender<oneshot::Sender<Status>>,
-    answers: Answers,
+    asks: mpsc::Sender<Ask>,
+    ready: Arc<AtomicBool>,
     clock: Clock,
     names: ReportNames,
     bounds: Bounds,
@@ -146,20 +145,13 @@
 }
 
 impl Desk {
-    /// A desk, and what is reported to it. What counts its answers must have been set up before.
+    /// A desk, and what is reported to it.
     pub fn new(clock: Clock, names: ReportNames, bounds: Bounds) -> (Rc<Self>, Reports) {
         let (inputs, receiver) = mpsc::unbounded_channel();
-        let (questions, asked) = mpsc::channel(QUESTIONS);
-        let answer = |kind: &'static str| counter!("fordrelay_answers_total", "answer" => kind);
-        let answers = Answers {
-            served: answer("served"),
-            refused: answer("refused"),
-            failed: answer("failed"),
-            unusable: answer("unusable"),
-        };
-        let (ids, claimed, waiting, flows) = Default::default();
-        let desk = Desk { inputs, questions, answers, clock, names, bounds, ids, claimed, waiting, flows };
-        (Rc::new(desk), Reports { inputs: receiver, questions: asked })
+        let (asks, asked) = mpsc::channel(ASKS);
+        let (ready, ids, claimed, waiting, flows) = Default::default();
+        let desk = Desk { inputs, asks, ready, clock, names, bounds, ids, claimed, waiting, flows };
+        (Rc::new(desk), Reports { inputs: receiver, asks: asked, seen: None })
     }
 
     /// Claims the id and the memory of a flow, before its body is read.
@@ -190,11 +182,9 @@
         self.clock
     }
 
-    /// What the state looks like once all that was reported before is taken in; none if too many ask at once.
-    pub async fn status(&self) -> Option<Status> {
-        let (answer, status) = oneshot::channel();
-        self.questions.try_send(answer).ok()?;
-        status.await.ok()
+    /// Whether jobs are served here, as operators are told.
+    pub fn ready(&self, ready: bool) {
+        self.ready.store(ready, std::sync::atomic::Ordering::Relaxed);
     }
 
     /// What may be open together.
@@ -269,21 +259,30 @@
 /// Feeds the reducer and carries out what it asks for; ends when no task can report any more.
 pub async fn run(mut state: State, desk: Rc<Desk>, mut reports: Reports, outlets: impl Outlets) {
     let mut conns: HashMap<ConnId, mpsc::UnboundedSender<Order>> = HashMap::new();
+    let mut lay_out = 0;
     loop {
         let now = desk.clock.now();
-        let wait = state.wake_at().map(|at| Duration::from_micros(at.saturating_sub(now)));
-        let input = tokio::select! {
+        if let Some(seen) = reports.seen.as_ref().filter(|_| now >= lay_out) {
+            lay_out = now + LAY_OUT;
+            seen.send_replace(Arc::new(state.seen()));
+        }
+        let next = reports.seen.as_ref().map(|_| lay_out);
+        let wake = [state.wake_at(), next].into_iter().flatten().min();
+        let wait = wake.map(|at| Duration::from_micros(at.saturating_sub(now)));
+        let (input, answer) = tokio::select! {
             biased;
+            // First, since there are few of them, and whoever asks waits a second at most.
+            Some(ask) = reports.asks.recv() => match ask.input(&state, now) {
+                Some(asked) => asked,
+                None => continue,
+            },
             input = reports.inputs.recv() => match input {
-                Some(input) => input,
+                Some(input) => (input, Reply::None),
                 None => return,
             },
-            Some(answer) = reports.questions.recv() => {
-                let _ = answer.send(state.status());
-                continue;
-            }
-            () = tokio::time::sleep(wait.unwrap_or_default()), if wait.is_some() => Input::Tick,
+            () = tokio::time::sleep(wait.unwrap_or_default()), if wait.is_some() => (Input::Tick, Reply::None),
         };
+        let ruled = matches!(input, Input::Ruled(_));
         if let Input::Closed { conn, .. } = &input {
             conns.remove(conn);
         }
@@ -310,7 +309,6 @@
                 Effect::Answer { flow, answer } => {
                     // A client that has just gone needs none.
                     if let Some(client) = desk.close(flow) {
-                        desk.answers.count(&answer);
                         let _ = client.send(answer);
                     }
                 }
@@ -318,5 +316,9 @@
                 Effect::Tell(message) => outlets.tell(&message),
             }
         }
+        if ruled {
+            outlets.keep(&state);
+        }
+        answer.give(&state);
     }
 }
--- a/crates/fordrelay/src/lifecycle.rs
+++ b/crates/fordrelay/src/lifecycle.rs
@@ -26,6 +26,9 @@
 const GRACE: Duration = Duration::from_millis(2_000);
 /// How long after SIGTERM what was taken since is answered at the latest: 3.7 s after it the program may be killed.
 const ANSWERED: Duration = Duration::from_millis(3_300);
+/// What the platform's calls keep to: a few callers say nothing for 4 s.
+const PLATFORM_CALLS: admin::Bounds =
+    admin::Bounds { connections: 12, request_wait: Duration::from_secs(10) };
 /// How often it is looked whether everything is answered.
 const LOOK: Duration = Duration::from_millis(10);
 
@@ -126,6 +129,8 @@
             peers.tell(message);
         }
     }
+
+    fn keep(&self, _state: &State) {}
 }
 
 /// Reads both files again at each SIGHUP. Where discovery is, the levels and what is logged take effect at once;
@@ -161,7 +166,8 @@
     let hangup = signal(SignalKind::hangup())?;
     let Told { config, operator, levels } = files.load()?;
     let logs = Logs::start(&operator.log);
-    let metrics = operator.admin.as_ref().map(|_| admin::recorder()).transpose();
+    let watched = operator.admin.is_some() || config.admin.is_some();
+    let metrics = watched.then(admin::recorder).transpose();
     let metrics = metrics.map_err(|e| StartError::Metrics(e.to_string()))?;
     let limits = usage::Limits { memory: config.memory_bytes, descriptors: config.descriptors };
     let classes = config.classes.clone();
@@ -173,7 +179,7 @@
     let longest = Duration::from_micros(give_up.iter().copied().max().unwrap_or(0));
     let state = State::new(config.setup(levels))?;
     let bounds = Bounds { flows: config.open_flows, bytes: config.flow_bytes };
-    let (desk, inputs) = Desk::new(clock, config.reports, bounds);
+    let (desk, mut inputs) = Desk::new(clock, config.reports, bounds);
     let peers = match config.peers {
         Some(addrs) => {
             let socket = UdpSocket::bind(addrs.listen).await.map_err(bind("peer_listen", addrs.listen))?;
@@ -192,12 +198,21 @@
     spawn_local(discovery::watch(discovery, places, Rc::clone(&desk), wanted));
     spawn_local(reload(hangup, files.clone(), logs, Rc::clone(&desk), classes.clone(), discovery_at));
     spawn_local(usage::watch(Rc::clone(&desk), limits));
-    if let (Some(admin), Some(metrics)) = (operator.admin, metrics) {
-        let socket = TcpListener::bind(admin.listen).await.map_err(bind("admin.listen", admin.listen))?;
-        let request_wait = Duration::from_millis(admin.request_ms);
-        let terms = admin::Terms { connections: admin.connections, request_wait, classes };
-        info!("operators are answered on {}", socket.local_addr()?);
-        spawn_local(admin::Server::new(Rc::clone(&desk), terms, metrics).accept(socket));
+    if let Some(metrics) = metrics {
+        let mut sockets = vec![];
+        if let Some(addr) = config.admin {
+            let socket = std::net::TcpListener::bind(addr).map_err(bind("admin_addr", addr))?;
+            info!("the platform's calls are answered on {}", socket.local_addr()?);
+            sockets.push((socket, PLATFORM_CALLS));
+        }
+        if let Some(admin) = operator.admin {
+            let addr = admin.listen;
+            let socket = std::net::TcpListener::bind(addr).map_err(bind("admin.listen", addr))?;
+            info!("operators are answered on {}", socket.local_addr()?);
+            let request_wait = Duration::from_millis(admin.request_ms);
+            sockets.push((socket, admin::Bounds { connections: admin.connections, request_wait }));
+        }
+        admin::start(inputs.window(&state, &desk), metrics, classes, sockets)?;
     }
     let sockets = Sockets { desk: Rc::clone(&desk), watches, peers };
     spawn_local(run(state, Rc::clone(&desk), inputs, sockets));
@@ -214,12 +229,14 @@
     let listen = socket.local_addr()?;
     let accepting = spawn_local(Rc::clone(&listener).accept(socket));
     spawn_local(Rc::clone(&listener).sweep());
+    desk.ready(true);
     info!(name = config.name, "serving on {listen}");
 
     tokio::select! {
         _ = terminate.recv() => {}
         _ = interrupt.recv() => {}
     }
+    desk.ready(false);
     info!(flows = desk.open_flows(), "told to stop");
     listener.answer_by(clock.now() + ANSWERED.as_micros() as Micros);
     phase.send_replace(Phase::Leaving);
--- a/crates/http1/src/io.rs
+++ b/crates/http1/src/io.rs
@@ -1,9 +1,7 @@
 //! A stream that tells what passes through it.
 
-use std::cell::Cell;
 use std::io::{IoSlice, Result};
 use std::pin::Pin;
-use std::rc::Rc;
 use std::task::{Context, Poll};
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
@@ -14,13 +12,8 @@
     fn read(&self, _bytes: &[u8]) {}
     /// The system has taken so many bytes.
     fn wrote(&self, _bytes: usize) {}
-}
-
-/// Counts the bytes that the system has taken.
-impl Observer for Rc<Cell<u64>> {
-    fn wrote(&self, bytes: usize) {
-        self.set(self.get() + bytes as u64);
-    }
+    /// The system has taken all that there was to write.
+    fn flushed(&self) {}
 }
 
 /// A TCP stream and its observer.
@@ -73,7 +66,11 @@
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<Result<()>> {
-        Pin::new(&mut self.stream).poll_flush(cx)
+        let result = Pin::new(&mut self.stream).poll_flush(cx);
+        if matches!(result, Poll::Ready(Ok(()))) {
+            self.observer.flushed();
+        }
+        result
     }
 
     fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<Result<()>> {
--- a/crates/http1/src/listener.rs
+++ b/crates/http1/src/listener.rs
@@ -15,7 +15,7 @@
 use hyper::{HeaderMap, Method, Request, Response, StatusCode};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use metrics::counter;
-use state::Answer;
+use state::{Answer, Input};
 use std::cell::Cell;
 use std::convert::Infallible;
 use std::future::poll_fn;
@@ -342,18 +342,29 @@
         let (id, mut spec) = self.read(&head.headers, came)?;
         spec.key = head.uri.query().and_then(key);
         spec.expires = spec.expires.min(self.ends.get());
+        let class = spec.class;
+        let turned_back = |refusal: Refusal| {
+            let answer = match refusal {
+                Refusal::Overload => Answer::Refused { retry_after: None },
+                Refusal::Slow => Answer::Failed,
+                // Nothing that a usual client sends; it counts as a fixed response only.
+                _ => return refusal,
+            };
+            self.desk.report(Input::TurnedBack { class, answer });
+            refusal
+        };
         if crowded {
-            return Err(Refusal::Overload);
+            return Err(turned_back(Refusal::Overload));
         }
         let id = Bytes::copy_from_slice(id.as_bytes());
         let mut claim = self.desk.claim(id.clone(), length as usize + FLOW_BYTES).map_err(|e| match e {
             Unclaimed::Repeated => Refusal::Id,
-            Unclaimed::Full => Refusal::Overload,
+            Unclaimed::Full => turned_back(Refusal::Overload),
         })?;
         let wait = Duration::from_micros(spec.expires.saturating_sub(came));
         let until = (guard.asking_since() + REQUEST_WAIT).min(Instant::now() + wait);
         let body = match tokio::time::timeout_at(until, Limited::new(body, LARGEST_BODY).collect()).await {
-            Err(_) => return Err(Refusal::Slow),
+            Err(_) => return Err(turned_back(Refusal::Slow)),
             Ok(Err(e)) if e.is::<LengthLimitError>() => return Err(Refusal::TooLarge),
             Ok(Err(_)) => return Err(Refusal::Body),
             Ok(Ok(body)) => body.to_bytes(),
--- a/crates/http1/src/target.rs
+++ b/crates/http1/src/target.rs
@@ -1,6 +1,6 @@
 //! The target client: one task for each connection, from its opening to its closing.
 
-use crate::io::Observed;
+use crate::io::{Observed, Observer};
 use crate::seconds;
 use api::{LoadReport, Micros, Outcome};
 use bytes::{Bytes, BytesMut};
@@ -62,6 +62,43 @@
     }
 }
 
+/// What is written on a connection.
+struct Outgoing {
+    conn: ConnId,
+    desk: Rc<Desk>,
+    /// Bytes since the last order.
+    written: Cell<u64>,
+    /// A request that has written less than this is certainly not whole; while none is on its way, any is not.
+    whole: Cell<u64>,
+    /// An attempt is ordered, and it has not been told yet that it is out whole.
+    owed: Cell<bool>,
+}
+
+impl Outgoing {
+    fn ordered(&self, order: &Order) {
+        self.written.set(0);
+        self.owed.set(matches!(order, Order::Job { .. }));
+        self.whole.set(match order {
+            // More than this is written for certain by the time that a request is whole.
+            Order::Job { passed, .. } => (passed.path.len() + passed.body.len()) as u64,
+            Order::Probe => 1,
+        });
+    }
+}
+
+impl Observer for Rc<Outgoing> {
+    fn wrote(&self, bytes: usize) {
+        self.written.set(self.written.get() + bytes as u64);
+    }
+
+    // hyper buffers a head with its whole body before it writes, and flushes once nothing of both is left.
+    fn flushed(&self) {
+        if self.written.get() >= self.whole.get() && self.owed.replace(false) {
+            self.desk.report(Input::Sent(self.conn));
+        }
+    }
+}
+
 /// Opens a connection, carries out orders, and reports once when it is closed.
 pub async fn connection(
     id: ConnId,
@@ -69,19 +106,20 @@
     mut orders: mpsc::UnboundedReceiver<Order>,
     desk: Rc<Desk>,
 ) {
-    // A request that has written less than this is certainly not whole; while none is on its way, any is not.
-    let (written, whole) = (Rc::new(Cell::new(0)), Cell::new(u64::MAX));
+    let (written, whole, owed) = (Cell::new(0), Cell::new(u64::MAX), Cell::new(false));
+    let outgoing = Rc::new(Outgoing { conn: id, desk: Rc::clone(&desk), written, whole, owed });
     tokio::select! {
         biased;
         // Nothing is ordered before the connection is up, so an end of orders is all that can come.
         _ = orders.recv() => {}
         stream = TcpStream::connect(addr) => match stream {
-            Ok(stream) => serve(id, stream, &mut orders, &desk, &written, &whole).await,
+            Ok(stream) => serve(id, stream, &mut orders, &desk, &outgoing).await,
             Err(e) => debug!(%addr, "can't connect: {e}"),
         }
     }
     // The socket is closed by now: the next attempt may follow.
-    desk.report(Input::Closed { conn: id, unsent: written.get() < whole.get() });
+    let unsent = outgoing.written.get() < outgoing.whole.get();
+    desk.report(Input::Closed { conn: id, unsent });
 }
 
 async fn serve(
@@ -89,13 +127,12 @@
     stream: TcpStream,
     orders: &mut mpsc::UnboundedReceiver<Order>,
     desk: &Desk,
-    written: &Rc<Cell<u64>>,
-    whole: &Cell<u64>,
+    outgoing: &Rc<Outgoing>,
 ) {
     if let Err(e) = stream.set_nodelay(true) {
         debug!("can't set TCP_NODELAY: {e}");
     }
-    let io = TokioIo::new(Observed::new(stream, Rc::clone(written)));
+    let io = TokioIo::new(Observed::new(stream, Rc::clone(outgoing)));
     let Ok((mut sender, conn)) = http1::handshake::<_, Full<Bytes>>(io).await else { return };
     tokio::pin!(conn);
     desk.report(Input::Up(id));
@@ -106,12 +143,7 @@
             _ = &mut conn => None,
         };
         let Some(order) = order else { return };
-        written.set(0);
-        whole.set(match &order {
-            // More than this is written for certain by the time that a request is whole.
-            Order::Job { passed, .. } => (passed.path.len() + passed.body.len()) as u64,
-            Order::Probe => 1,
-        });
+        outgoing.ordered(&order);
         let mut closed = false;
         let done = {
             let exchange = exchange(id, order, &mut sender, desk);
@@ -129,7 +161,7 @@
         };
         match done {
             Ok(()) if !closed => {
-                whole.set(u64::MAX);
+                outgoing.whole.set(u64::MAX);
                 let ready = tokio::select! {
                     biased;
                     ready = sender.ready() => ready.is_ok(),
--- a/crates/lab/src/model.rs
+++ b/crates/lab/src/model.rs
@@ -329,7 +329,7 @@
             }
             Due::Sample => {
                 for (dispatcher, d) in (0..).zip(&self.dispatchers) {
-                    let Some(levels) = d.state.status().levels else { continue };
+                    let Some(levels) = d.state.seen().status.levels else { continue };
                     let (at, rank, readings) = (self.now - START, levels.rank, levels.readings);
                     self.samples.push(Sample { at, dispatcher, rank, readings });
                 }
--- a/crates/settings/src/platform.rs
+++ b/crates/settings/src/platform.rs
@@ -104,6 +104,7 @@
     seed: String,
     #[serde(default)]
     limits: LimitsFile,
+    admin_addr: Option<SocketAddr>,
     peer_listen: Option<SocketAddr>,
     #[serde(default)]
     peers: Vec<SocketAddr>,
@@ -136,6 +137,9 @@
     pub name: &'a str,
     /// Where clients connect.
     pub listen: SocketAddr,
+    /// Where operators' calls are answered, if the platform says so.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub admin: Option<SocketAddr>,
     /// Where discovery is.
     pub discovery: SocketAddr,
     /// Names of the classes.
@@ -171,6 +175,8 @@
     pub name: String,
     /// Where clients connect.
     pub listen: SocketAddr,
+    /// Where the platform's calls are answered, if it asks for any.
+    pub admin: Option<SocketAddr>,
     /// Where discovery is.
     pub discovery: SocketAddr,
     /// For random numbers.
@@ -233,6 +239,7 @@
         Summary {
             name: &self.name,
             listen: self.listen,
+            admin: self.admin,
             discovery: self.discovery,
             classes: &self.classes,
             zones: &self.zones,
@@ -278,6 +285,11 @@
         };
         let listen = address("listen", file.listen, "ROUTER_LISTEN")?;
         let discovery = address("discovery", file.discovery, "ROUTER_DISCOVERY")?;
+        let admin = match (file.admin_addr, variable("ROUTER_ADMIN_ADDR")) {
+            (Some(addr), _) => Some(addr),
+            (None, Some(text)) => Some(text.parse().map_err(|e| fault("ROUTER_ADMIN_ADDR", e))?),
+            (None, None) => None,
+        };
         let seed = u64::from_str_radix(&file.seed, 16).map_err(|e| fault("seed", e))?;
         let facts = file.settings;
         let decisions = settings(&facts).map_err(|e| unusable(&e))?;
@@ -322,6 +334,7 @@
         Ok(Config {
             name: file.name.or_else(|| variable("ROUTER_NAME")).unwrap_or_default(),
             listen,
+            admin,
             discovery,
             seed,
             me: facts.me,
--- a/crates/state/src/flows.rs
+++ b/crates/state/src/flows.rs
@@ -34,16 +34,22 @@
         self.flows.get_mut(&id)
     }
 
+    pub fn class(&self, id: JobId) -> Option<usize> {
+        self.flows.get(&id).map(|f| f.class)
+    }
+
     /// Whether the flow still waits for its answer.
     pub fn waiting(&self, id: JobId) -> bool {
         self.flows.get(&id).is_some_and(|f| !f.over)
     }
 
-    /// Marks the flow as over; tells whether it was not before.
-    pub fn finish(&mut self, id: JobId) -> bool {
-        let first = self.flows.get_mut(&id).is_some_and(|f| !std::mem::replace(&mut f.over, true));
+    /// Marks the flow as over; tells its class if it was not before.
+    pub fn finish(&mut self, id: JobId) -> Option<usize> {
+        let flow = self.flows.get_mut(&id).filter(|f| !f.over)?;
+        flow.over = true;
+        let class = flow.class;
         self.forget(id);
-        first
+        Some(class)
     }
 
     /// The flow's attempt is not out any more.
--- a/crates/state/src/lib.rs
+++ b/crates/state/src/lib.rs
@@ -3,12 +3,14 @@
 //! Tasks report an [`Input`]; [`reduce`] changes the [`State`] and returns each [`Effect`] to carry out. Nothing
 //! here reads a clock, draws a random number, touches a socket or knows what protocol the flows came by.
 
+mod counts;
 mod flows;
 mod pool;
 mod reducer;
 mod targets;
 
-pub use reducer::{reduce, State};
+pub use counts::{ClassCounts, Counts};
+pub use reducer::{reduce, Seen, State};
 
 use api::{JobId, JobSpec, ListKind, LoadReport, Micros, Outcome, Settings, Status};
 use bytes::Bytes;
@@ -20,6 +22,17 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct ConnId(pub u64);
 
+/// The operators' word on a target; the latest counts.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Ruling {
+    /// It is left out, whatever the list says.
+    pub out: bool,
+    /// When they said so.
+    pub at: Micros,
+    /// Since when it has been out, or had been when it was called back.
+    pub since: Micros,
+}
+
 /// What the reducer is told at the start.
 #[derive(Debug, Clone)]
 pub struct Setup {
@@ -78,6 +91,13 @@
     ListFailed,
     /// A flow was taken; its id is new.
     Taken(JobSpec),
+    /// A request got a fixed response before it was a flow, and its class was known.
+    TurnedBack {
+        /// Its class, by position.
+        class: usize,
+        /// What it was answered as.
+        answer: Answer,
+    },
     /// The client of a flow has gone before its answer.
     Left(JobId),
     /// A connection is up and can carry something.
@@ -91,6 +111,8 @@
         /// What was being sent on it when it broke was certainly not sent whole.
         unsent: bool,
     },
+    /// The last byte of what was ordered on the connection is out.
+    Sent(ConnId),
     /// The target has begun the job.
     Started(ConnId),
     /// The target has come this far with the job.
@@ -126,6 +148,8 @@
     Levels(Option<Arc<Spec>>),
     /// The operators ask for a level, 0 for full service, for so long; with none for what the figures say.
     Force(Option<(usize, Micros)>),
+    /// The operators' latest word on targets, here or at another process of this dispatcher.
+    Ruled(Vec<(String, Ruling)>),
     /// The time that [`State::wake_at`] named has come.
     Tick,
 }
--- a/crates/state/src/reducer.rs
+++ b/crates/state/src/reducer.rs
@@ -1,11 +1,15 @@
 //! The one place that changes the state.
 
+use super::counts::Counts;
 use super::flows::Flows;
 use super::pool::{Load, Pool, Stage};
 use super::targets::TargetGroup;
-use super::{Answer, ConnId, Effect, Input, Setup};
+use super::{Answer, ConnId, Effect, Input, Ruling, Setup};
 use api::told;
-use api::{Action, Event, Idempotency, JobId, LoadReport, Micros, Outcome, Reports, SettingsError, WorkerId};
+use api::{
+    Action, Event, Idempotency, JobId, ListKind, LoadReport, Micros, Outcome, Reports, SettingsError,
+    WorkerId,
+};
 use bytes::Bytes;
 use levels::{Change, Governed, Status};
 use std::collections::{BTreeSet, VecDeque};
@@ -22,6 +26,7 @@
     flows: Flows,
     targets: TargetGroup,
     pool: Pool,
+    counts: Counts,
     /// Every time that the decisions have asked for: they ask for none twice, so none may be dropped.
     wakes: BTreeSet<Micros>,
     /// Empty between calls; kept for its room.
@@ -36,12 +41,34 @@
     pub fn new(setup: Setup) -> Result<Self, SettingsError> {
         let decisions = Governed::new(setup.settings.clone(), setup.seed, setup.levels.clone())?;
         let (flows, targets, pool) = (Default::default(), Default::default(), Pool::new(setup.idle));
-        Ok(State { setup, decisions, flows, targets, pool, wakes: BTreeSet::new(), actions: vec![] })
+        let counts = Counts::new(setup.settings.classes.len());
+        let (wakes, actions) = Default::default();
+        Ok(State { setup, decisions, flows, targets, pool, counts, wakes, actions })
     }
 
     /// What can be seen from outside.
-    pub fn status(&self) -> Status {
-        self.decisions.status()
+    pub fn seen(&self) -> Seen {
+        let status = self.decisions.status();
+        let avoided = self.targets.out() + status.figures.avoided;
+        Seen { counts: self.counts.clone(), listed: self.targets.listed(), avoided, status }
+    }
+
+    /// The operators' latest word on each target that they ever spoke of.
+    pub fn rulings(&self) -> impl Iterator<Item = (&str, Ruling)> {
+        self.targets.rulings()
+    }
+
+    /// What the operators' word on a target comes to at this time; none if no list has ever named it.
+    pub fn word(&self, target: &str, out: bool, now: Micros) -> Option<Ruling> {
+        let before = self.named(target).then(|| self.targets.ruling(target))?;
+        let at = before.map_or(now, |b| now.max(b.at + 1));
+        let since = before.filter(|b| b.out).map_or(at, |b| b.since);
+        Some(Ruling { out, at, since })
+    }
+
+    /// Whether a list has ever named this target.
+    pub fn named(&self, target: &str) -> bool {
+        self.targets.named(target)
     }
 
     /// The level of service in force, where there are levels, and the last change.
@@ -55,6 +82,19 @@
     }
 }
 
+/// What can be seen of the state from outside.
+#[derive(Debug, Clone)]
+pub struct Seen {
+    /// What the decisions believe and count, and the levels.
+    pub status: Status,
+    /// What has become of the jobs.
+    pub counts: Counts,
+    /// Targets in the list, those that drain included.
+    pub listed: usize,
+    /// ... and of these, those that are out by hand or get nothing for now.
+    pub avoided: usize,
+}
+
 /// Takes one input at a time `now`, which never runs back, and returns what to do, in order.
 pub fn reduce(state: &mut State, now: Micros, input: Input) -> Vec<Effect> {
     let mut turn = Turn { state, now, effects: Vec::new(), events: VecDeque::new() };
@@ -80,19 +120,27 @@
                 stale.into_iter().for_each(|target| self.close_idle(target));
                 self.events.push_back(Event::Listed { kind, entries });
             }
+            Input::Ruled(rulings) => self.ruled(rulings),
             Input::ListFailed => self.events.push_back(Event::ListFailed),
             Input::Taken(spec) => {
                 self.state.flows.take(spec.id, spec.class, spec.expires);
+                self.state.counts.taken(spec.class);
                 self.events.push_back(Event::Job(spec));
             }
+            Input::TurnedBack { class, answer } => {
+                self.state.counts.taken(class);
+                self.state.counts.answered(class, &answer);
+            }
             Input::Left(flow) => {
-                if self.state.flows.finish(flow) {
+                if let Some(class) = self.state.flows.finish(flow) {
+                    self.state.counts.gone(class);
                     self.events.push_back(Event::ClientGone(flow));
                 }
             }
             Input::Up(conn) => self.up(conn),
             Input::Free(conn) => self.free(conn),
             Input::Closed { conn, unsent } => self.closed(conn, unsent),
+            Input::Sent(conn) => self.sent(conn),
             Input::Started(conn) => {
                 if let Some((job, attempt, worker)) = self.attempt(conn) {
                     debug!(flow = job.0, attempt, target = worker.0, "started");
@@ -192,11 +240,35 @@
     }
 
     fn answer(&mut self, flow: JobId, answer: Answer) {
-        if self.state.flows.finish(flow) {
+        if let Some(class) = self.state.flows.finish(flow) {
+            self.state.counts.answered(class, &answer);
             self.effects.push(Effect::Answer { flow, answer });
         }
     }
 
+    /// An attempt is out whole, be it that nobody waits for it any more.
+    fn sent(&mut self, conn: ConnId) {
+        let stage = self.state.pool.get(conn).map(|c| c.stage);
+        if let Some(Stage::Busy(Load::Attempt(job, _)) | Stage::Closing(Some((Load::Attempt(job, _), _)))) =
+            stage
+        {
+            self.state.flows.class(job).into_iter().for_each(|class| self.state.counts.sent(class));
+        }
+    }
+
+    /// The operators' word on targets: the decisions hear of one that is out as of one that drains.
+    fn ruled(&mut self, rulings: Vec<(String, Ruling)>) {
+        for (target, ruling) in rulings {
+            let Some((entry, out)) = self.state.targets.rule(&target, ruling) else { continue };
+            info!(target, out = ruling.out, "the operators' word on a target");
+            if let Some(worker) = out {
+                self.close_idle(worker);
+            }
+            let entries = entry.into_iter().collect();
+            self.events.push_back(Event::Listed { kind: ListKind::Changes, entries });
+        }
+    }
+
     fn push(&mut self, job: JobId, worker: WorkerId) {
         let Some(flow) = self.state.flows.get_mut(job) else { return };
         let attempt = flow.attempts;
--- a/crates/state/src/targets.rs
+++ b/crates/state/src/targets.rs
@@ -1,17 +1,25 @@
-//! The target group: every target that a list has named, numbered for the decisions.
+//! The target group: every target that a list has named, numbered for the decisions, and the operators' word on some.
 
-use super::Listed;
+use super::{Listed, Ruling};
 use api::told;
-use api::{ListKind, Listing, Status, WorkerId};
-use std::collections::{BTreeSet, HashMap};
+use api::{ListKind, Listing, Micros, Status, WorkerId};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::net::SocketAddr;
 
+/// How late a list may be: what started before a call back by less than this may be new to it.
+const LATE: Micros = 6_000_000;
+
 /// One target.
 #[derive(Debug)]
 pub(super) struct Target {
     pub name: String,
     pub addr: SocketAddr,
+    /// It may get something new.
     pub ready: bool,
+    /// What the list says of it, the operators' word left aside.
+    listing: Listing,
+    /// It counts as started no earlier than this: it was called back, and a list may not know of its start.
+    started_from: Option<Micros>,
 }
 
 /// All of them; a target keeps its number for good.
@@ -20,6 +28,7 @@
     targets: Vec<Target>,
     numbers: HashMap<String, WorkerId>,
     marks: HashMap<u32, WorkerId>,
+    rulings: BTreeMap<String, Ruling>,
     /// The version of the list held.
     pub version: Option<u64>,
 }
@@ -37,6 +46,34 @@
         self.marks.get(&mark).copied()
     }
 
+    /// Whether a list has ever named it.
+    pub fn named(&self, name: &str) -> bool {
+        self.numbers.contains_key(name)
+    }
+
+    /// Targets in the list.
+    pub fn listed(&self) -> usize {
+        self.targets.iter().filter(|t| t.listing.status != Status::Gone).count()
+    }
+
+    /// ... and of these, those that are out by hand.
+    pub fn out(&self) -> usize {
+        let listed = |t: &&Target| t.listing.status != Status::Gone;
+        self.targets.iter().filter(listed).filter(|t| self.is_out(&t.name)).count()
+    }
+
+    pub fn rulings(&self) -> impl Iterator<Item = (&str, Ruling)> {
+        self.rulings.iter().map(|(name, ruling)| (name.as_str(), *ruling))
+    }
+
+    pub fn ruling(&self, name: &str) -> Option<Ruling> {
+        self.rulings.get(name).copied()
+    }
+
+    fn is_out(&self, name: &str) -> bool {
+        self.rulings.get(name).is_some_and(|r| r.out)
+    }
+
     /// Takes a list over. Returns it for the decisions, and the targets whose connections are of no more use.
     pub fn update(
         &mut self,
@@ -48,21 +85,26 @@
         let mut stale = BTreeSet::new();
         let mut listings = Vec::with_capacity(entries.len());
         for entry in entries {
-            let (worker, ready) = (self.number(&entry), entry.status == Status::Ready);
+            let worker = self.number(&entry);
             let Some(target) = self.targets.get_mut(worker.0 as usize) else { continue };
-            if !ready || target.addr != entry.addr {
+            if target.addr != entry.addr {
                 stale.insert(worker);
             }
-            (target.addr, target.ready) = (entry.addr, ready);
+            target.addr = entry.addr;
             let Listed { zone, kind, cell, status, started, weight, .. } = entry;
             let mark = told::mark(&target.name);
-            listings.push(Listing { worker, mark, status, kind, zone, cell, started, weight });
+            target.listing = Listing { worker, mark, status, kind, zone, cell, started, weight };
+            listings.push(self.shown(worker));
+            if !self.ready(worker) {
+                stale.insert(worker);
+            }
         }
         if kind != ListKind::Changes {
             let listed: BTreeSet<WorkerId> = listings.iter().map(|l| l.worker).collect();
             for (n, target) in (0..).zip(&mut self.targets) {
                 if !listed.contains(&WorkerId(n)) {
                     target.ready = false;
+                    target.listing.status = Status::Gone;
                     stale.insert(WorkerId(n));
                 }
             }
@@ -70,12 +112,49 @@
         (listings, stale)
     }
 
+    /// Takes the operators' word on a target over, if it is the latest. Returns what the decisions are to hear of it,
+    /// if a list has named it, and the target if it is out.
+    pub fn rule(&mut self, name: &str, ruling: Ruling) -> Option<(Option<Listing>, Option<WorkerId>)> {
+        let before = self.rulings.get(name).copied();
+        if before.is_some_and(|b| b.at >= ruling.at) {
+            return None;
+        }
+        self.rulings.insert(name.to_owned(), ruling);
+        let Some(worker) = self.numbers.get(name).copied() else { return Some((None, None)) };
+        if let Some(target) = self.targets.get_mut(worker.0 as usize).filter(|_| !ruling.out) {
+            // Out since then, it may have been restarted at any time and be cold.
+            let was_out = before.is_some_and(|b| b.out) || ruling.since < ruling.at;
+            let from = ruling.since.max(ruling.at.saturating_sub(LATE));
+            target.started_from = if was_out { Some(from) } else { target.started_from };
+        }
+        // What the list said last of its load is no news.
+        let shown = Listing { weight: None, ..self.shown(worker) };
+        Some((Some(shown), ruling.out.then_some(worker)))
+    }
+
+    /// What the decisions hear of a target: one that is out drains.
+    fn shown(&mut self, worker: WorkerId) -> Listing {
+        let Some(target) = self.targets.get(worker.0 as usize) else { return Listing::default() };
+        let (out, listing) = (self.is_out(&target.name), target.listing.clone());
+        let status = match listing.status {
+            Status::Ready if out => Status::Draining,
+            status => status,
+        };
+        let started = listing.started.max(target.started_from);
+        if let Some(target) = self.targets.get_mut(worker.0 as usize) {
+            target.ready = status == Status::Ready;
+        }
+        Listing { status, started, ..listing }
+    }
+
     fn number(&mut self, entry: &Listed) -> WorkerId {
         if let Some(id) = self.numbers.get(&entry.name) {
             return *id;
         }
         let id = WorkerId(self.targets.len() as u32);
-        self.targets.push(Target { name: entry.name.clone(), addr: entry.addr, ready: false });
+        let listing = Listing { worker: id, ..Listing::default() };
+        let (name, addr) = (entry.name.clone(), entry.addr);
+        self.targets.push(Target { name, addr, ready: false, listing, started_from: None });
         self.marks.insert(told::mark(&entry.name), id);
         self.numbers.insert(entry.name.clone(), id);
         id
