Bring a new version in on the inherited socket, with what the old one knew

Change: the socket named by ROUTER_INHERITED_FD is duplicated by a safe call and must listen on TCP. Crate handover has the note (versioned, checksummed) and who may do what; the program has the folder in TMPDIR (a note and a lock a process), takes over words on targets and the list, shares descriptors, memory and flows while two live, and takes the datagram port once the old process has left it. Told to stop with another process there, the old one stops accepting at once and closes idle connections after 0.7 s, each after a last look for a request, and none amid one.

--- a/crates/decide/tests/decisions.rs
+++ b/crates/decide/tests/decisions.rs
@@ -242,7 +242,7 @@
     let mut rig = Rig::new(many(300, Reports::Outcomes, 0.002), 200);
     for id in 0..50 {
         rig.now += 100 * MS;
-        let free = |w: WorkerId| if w.0 % 3 == 0 { 3.0 } else { 0.0 };
+        let free = |w: WorkerId| if w.0.is_multiple_of(3) { 3.0 } else { 0.0 };
         let taken = rig.job(id, 0, 1.0);
         assert!(id > 0 || pushes(&taken).is_empty(), "not before anything is known");
         let (asked, done) = answer_probes(&mut rig, taken, free);
@@ -626,7 +626,8 @@
     let mut actions = rig.job(100, 0, 1.0);
     let mut found = vec![];
     for _ in 0..20 {
-        let (_, done) = answer_probes(&mut rig, actions, |w: WorkerId| if w.0 % 2 == 0 { 0.0 } else { 4.0 });
+        let (_, done) =
+            answer_probes(&mut rig, actions, |w: WorkerId| if w.0.is_multiple_of(2) { 0.0 } else { 4.0 });
         found.extend(pushes(&done));
         actions = rig.after(20 * MS);
     }
--- a/crates/desk/src/lib.rs
+++ b/crates/desk/src/lib.rs
@@ -104,8 +104,11 @@
     fn watch(&self, after: Option<u64>);
     /// Sends a message to every other dispatcher.
     fn tell(&self, message: &[u8]);
-    /// Keeps the operators' word on targets for whatever process comes after this one.
-    fn keep(&self, state: &State);
+    /// Keeps what is known for whatever process comes after this one: at once where the operators have just said
+    /// something, else when it seems time.
+    fn keep(&self, state: &State, at_once: bool);
+    /// Whether there is anything to be kept.
+    fn keeps(&self) -> bool;
 }
 
 /// What operators ask that may wait together.
@@ -137,7 +140,8 @@
     ready: Arc<AtomicBool>,
     clock: Clock,
     names: ReportNames,
-    bounds: Bounds,
+    bounds: Cell<Bounds>,
+    listed: Cell<bool>,
     ids: RefCell<HashSet<Bytes>>,
     claimed: Cell<usize>,
     waiting: RefCell<HashMap<JobId, Waiting>>,
@@ -149,8 +153,9 @@
     pub fn new(clock: Clock, names: ReportNames, bounds: Bounds) -> (Rc<Self>, Reports) {
         let (inputs, receiver) = mpsc::unbounded_channel();
         let (asks, asked) = mpsc::channel(ASKS);
-        let (ready, ids, claimed, waiting, flows) = Default::default();
-        let desk = Desk { inputs, asks, ready, clock, names, bounds, ids, claimed, waiting, flows };
+        let (ready, listed, ids, claimed, waiting, flows) = Default::default();
+        let bounds = Cell::new(bounds);
+        let desk = Desk { inputs, asks, ready, clock, names, bounds, listed, ids, claimed, waiting, flows };
         (Rc::new(desk), Reports { inputs: receiver, asks: asked, seen: None })
     }
 
@@ -164,7 +169,7 @@
         if ids.contains(&id) {
             return Err(Unclaimed::Repeated);
         }
-        if ids.len() >= self.bounds.flows || claimed > self.bounds.bytes {
+        if ids.len() >= self.bounds().flows || claimed > self.bounds().bytes {
             return Err(Unclaimed::Full);
         }
         ids.insert(id.clone());
@@ -189,7 +194,22 @@
 
     /// What may be open together.
     pub fn bounds(&self) -> Bounds {
-        self.bounds
+        self.bounds.get()
+    }
+
+    /// So much may be open together from now on; what is open already stays.
+    pub fn bound(&self, bounds: Bounds) {
+        self.bounds.set(bounds);
+    }
+
+    /// Discovery has told of the targets.
+    pub fn listed(&self) {
+        self.listed.set(true);
+    }
+
+    /// Whether it ever has.
+    pub fn has_list(&self) -> bool {
+        self.listed.get()
     }
 
     /// How load reports are read.
@@ -262,11 +282,13 @@
     let mut lay_out = 0;
     loop {
         let now = desk.clock.now();
-        if let Some(seen) = reports.seen.as_ref().filter(|_| now >= lay_out) {
+        let watched = reports.seen.is_some() || outlets.keeps();
+        if watched && now >= lay_out {
             lay_out = now + LAY_OUT;
-            seen.send_replace(Arc::new(state.seen()));
+            reports.seen.iter().for_each(|seen| drop(seen.send_replace(Arc::new(state.seen()))));
+            outlets.keep(&state, false);
         }
-        let next = reports.seen.as_ref().map(|_| lay_out);
+        let next = watched.then_some(lay_out);
         let wake = [state.wake_at(), next].into_iter().flatten().min();
         let wait = wake.map(|at| Duration::from_micros(at.saturating_sub(now)));
         let (input, answer) = tokio::select! {
@@ -317,7 +339,7 @@
             }
         }
         if ruled {
-            outlets.keep(&state);
+            outlets.keep(&state, true);
         }
         answer.give(&state);
     }
--- a/crates/discovery/src/lib.rs
+++ b/crates/discovery/src/lib.rs
@@ -1,7 +1,10 @@
 //! The client of discovery: asks for the list of targets and watches it.
 
+mod kept;
 mod seldom;
 
+pub use kept::Kept;
+
 use api::told;
 use api::{ListKind, Micros, Status};
 use bytes::Bytes;
@@ -12,6 +15,7 @@
 use hyper_util::rt::TokioIo;
 use settings::list::{Entry, List, State};
 use state::{Input, Listed};
+use std::cell::RefCell;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -42,11 +46,14 @@
     pub kinds: Vec<String>,
     /// What Unix time is on the dispatcher's clock.
     pub clock: Clock,
+    /// The list as it was told, for a successor; none where nobody will ask for it.
+    pub kept: Option<Rc<RefCell<Kept>>>,
 }
 
 impl Places {
     /// The list as the reducer takes it.
     pub fn input(&self, list: List, inherited: bool) -> Input {
+        self.kept.iter().for_each(|kept| kept.borrow_mut().take(&list));
         // Names that the settings don't hold are places too, and different ones: keys are shared by place.
         let place = |names: &[String], name: &str| {
             let known = names.iter().position(|n| n == name);
@@ -134,6 +141,7 @@
                     let early = desk.clock().now() - asked < WATCH_WAIT.as_micros() as Micros / 2;
                     let pause = early && !list.full && list.servers.is_empty();
                     desk.report(places.input(list, false));
+                    desk.listed();
                     if pause {
                         tokio::time::sleep(IDLE_PAUSE).await;
                     }
--- a/crates/fordrelay/src/lib.rs
+++ b/crates/fordrelay/src/lib.rs
@@ -1,9 +1,12 @@
 //! The dispatcher as a program: its command line, start, readiness, reload and stop.
 
 mod commands;
+mod folder;
+mod inherited;
 pub mod lifecycle;
 mod log;
 mod peers;
+mod succession;
 mod usage;
 
 use bpaf::{construct, long, positional, OptionParser, Parser};
--- a/crates/fordrelay/src/lifecycle.rs
+++ b/crates/fordrelay/src/lifecycle.rs
@@ -1,7 +1,9 @@
 //! Start, readiness and stop.
 
+use crate::inherited::{self, InheritError};
 use crate::log::Logs;
 use crate::peers::Peers;
+use crate::succession::Succession;
 use crate::usage;
 use api::{ListKind, Micros, SettingsError};
 use desk::{run, Bounds, Clock, Desk, Order, Outlets};
@@ -15,7 +17,7 @@
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
-use tokio::net::{TcpListener, UdpSocket};
+use tokio::net::TcpListener;
 use tokio::signal::unix::{signal, Signal, SignalKind};
 use tokio::sync::{mpsc, watch};
 use tokio::task::{spawn_local, LocalSet};
@@ -24,6 +26,9 @@
 /// How long after SIGTERM connections are still accepted and kept: clients hear of it only then, and no other
 /// dispatcher may be there to turn to.
 const GRACE: Duration = Duration::from_millis(2_000);
+/// ... and where another process has taken over the socket: requests on kept connections are still taken, since a
+/// client is told only with an answer, or sees that it must not use one that is closed between its requests.
+const SUCCEEDED: Duration = Duration::from_millis(700);
 /// How long after SIGTERM what was taken since is answered at the latest: 3.7 s after it the program may be killed.
 const ANSWERED: Duration = Duration::from_millis(3_300);
 /// What the platform's calls keep to: a few callers say nothing for 4 s.
@@ -57,6 +62,9 @@
     /// What counts for `/metrics` can't be set up.
     #[error("metrics: {0}")]
     Metrics(String),
+    /// The socket that the platform holds can't be used.
+    #[error(transparent)]
+    Inherited(#[from] InheritError),
     /// Anything else that the system refuses.
     #[error("{0}")]
     Io(#[from] std::io::Error),
@@ -113,6 +121,7 @@
     desk: Rc<Desk>,
     watches: mpsc::UnboundedSender<Option<u64>>,
     peers: Option<Rc<Peers>>,
+    succession: Option<Rc<Succession>>,
 }
 
 impl Outlets for Sockets {
@@ -130,7 +139,15 @@
         }
     }
 
-    fn keep(&self, _state: &State) {}
+    fn keep(&self, state: &State, at_once: bool) {
+        if let Some(succession) = &self.succession {
+            succession.keep(state, at_once);
+        }
+    }
+
+    fn keeps(&self) -> bool {
+        self.succession.is_some()
+    }
 }
 
 /// Reads both files again at each SIGHUP. Where discovery is, the levels and what is logged take effect at once;
@@ -178,21 +195,43 @@
     let give_up: Vec<_> = config.settings.classes.iter().map(|c| c.give_up).collect();
     let longest = Duration::from_micros(give_up.iter().copied().max().unwrap_or(0));
     let state = State::new(config.setup(levels))?;
-    let bounds = Bounds { flows: config.open_flows, bytes: config.flow_bytes };
-    let (desk, mut inputs) = Desk::new(clock, config.reports, bounds);
-    let peers = match config.peers {
-        Some(addrs) => {
-            let socket = UdpSocket::bind(addrs.listen).await.map_err(bind("peer_listen", addrs.listen))?;
-            let peers = Peers::new(socket, addrs.numbers, addrs.all, config.me);
-            spawn_local(Rc::clone(&peers).listen(Rc::clone(&desk)));
-            Some(peers)
+    let inherited = std::env::var_os(inherited::VARIABLE);
+    let inherited = inherited.map(|text| inherited::listener(&text.to_string_lossy())).transpose()?;
+    // Only where the socket outlives a process can another one take over from it.
+    let succession = inherited.as_ref().and_then(|_| Succession::begin(&config, clock));
+    let others = succession.as_ref().map_or(0, |s| s.others());
+    let share = config.share(1 + others);
+    let (desk, mut inputs) =
+        Desk::new(clock, config.reports.clone(), Bounds { flows: share.flows, bytes: share.bytes });
+    let peers = config.peers.clone().map(|addrs| Peers::new(addrs, config.me));
+    match &peers {
+        Some(peers) if others == 0 => {
+            let listen = config.peers.as_ref().map_or(config.listen, |addrs| addrs.listen);
+            peers.bind().await.map_err(bind("peer_listen", listen))?;
+            spawn_local(Rc::clone(peers).listen(Rc::clone(&desk)));
         }
-        None => None,
+        Some(peers) => {
+            let (peers, desk) = (Rc::clone(peers), Rc::clone(&desk));
+            spawn_local(async move {
+                peers.succeed().await;
+                peers.listen(desk).await;
+            });
+        }
+        None => {}
+    }
+    let (zones, kinds) = (config.zones.clone(), config.kinds.clone());
+    let places = Places { zones, kinds, clock, kept: succession.as_ref().map(|s| s.kept()) };
+    let known = match &succession {
+        Some(succession) => succession.known(config.known.clone()),
+        None => config.known.clone(),
     };
-    let places = Places { zones: config.zones, kinds: config.kinds, clock };
     // The first input makes the decisions ask for the list, also where none is known.
     let nothing = Input::Listed { kind: ListKind::Inherited, version: None, entries: vec![] };
-    desk.report(config.known.map_or(nothing, |known| places.input(known, true)));
+    desk.report(known.map_or(nothing, |known| places.input(known, true)));
+    if let Some(succession) = &succession {
+        desk.report(succession.words());
+        desk.report(Input::Connections(share.targets));
+    }
     let (watches, wanted) = mpsc::unbounded_channel();
     let (discovery_at, discovery) = watch::channel(config.discovery);
     spawn_local(discovery::watch(discovery, places, Rc::clone(&desk), wanted));
@@ -214,33 +253,65 @@
         }
         admin::start(inputs.window(&state, &desk), metrics, classes, sockets)?;
     }
-    let sockets = Sockets { desk: Rc::clone(&desk), watches, peers };
+    let sockets =
+        Sockets { desk: Rc::clone(&desk), watches, peers: peers.clone(), succession: succession.clone() };
     spawn_local(run(state, Rc::clone(&desk), inputs, sockets));
 
     let (phase, phases) = watch::channel(Phase::Serving);
     let terms = Terms {
-        classes: config.classes,
-        tenants: config.tenants,
-        connections: config.client_connections,
+        classes: config.classes.clone(),
+        tenants: config.tenants.clone(),
+        connections: share.clients,
         give_up,
     };
     let listener = Listener::new(Rc::clone(&desk), terms, phases);
-    let socket = TcpListener::bind(config.listen).await.map_err(bind("listen", config.listen))?;
+    if let Some(succession) = &succession {
+        let rest = (Rc::clone(&desk), Rc::clone(&listener), config.clone());
+        spawn_local(Rc::clone(succession).follow(rest.0, rest.1, rest.2));
+    }
+    let socket = match inherited {
+        Some(socket) => {
+            socket.set_nonblocking(true)?;
+            TcpListener::from_std(socket)?
+        }
+        None => TcpListener::bind(config.listen).await.map_err(bind("listen", config.listen))?,
+    };
     let listen = socket.local_addr()?;
+    if listen != config.listen && config.listen.port() != 0 {
+        warn!(inherited = %listen, configured = %config.listen, "the inherited socket listens elsewhere");
+    }
+    let mut stopping = std::pin::pin!(async {
+        tokio::select! {
+            _ = terminate.recv() => {}
+            _ = interrupt.recv() => {}
+        }
+    });
+    if let Some(succession) = &succession {
+        let told_to_stop = tokio::select! {
+            biased;
+            () = &mut stopping => true,
+            () = succession.may_serve() => false,
+        };
+        if told_to_stop {
+            info!("told to stop before it served");
+            return Ok(());
+        }
+    }
     let accepting = spawn_local(Rc::clone(&listener).accept(socket));
     spawn_local(Rc::clone(&listener).sweep());
     desk.ready(true);
     info!(name = config.name, "serving on {listen}");
 
-    tokio::select! {
-        _ = terminate.recv() => {}
-        _ = interrupt.recv() => {}
-    }
+    stopping.await;
     desk.ready(false);
-    info!(flows = desk.open_flows(), "told to stop");
+    let succeeded = succession.as_ref().is_some_and(|s| s.leave());
+    info!(flows = desk.open_flows(), succeeded, "told to stop");
     listener.answer_by(clock.now() + ANSWERED.as_micros() as Micros);
-    phase.send_replace(Phase::Leaving);
-    tokio::time::sleep(GRACE).await;
+    phase.send_replace(if succeeded { Phase::Succeeded } else { Phase::Leaving });
+    if succeeded {
+        peers.iter().for_each(|peers| peers.leave());
+    }
+    tokio::time::sleep(if succeeded { SUCCEEDED } else { GRACE }).await;
     phase.send_replace(Phase::Closing);
     // An accept loop that has ended has spawned a task for each connection, and none is left unanswered.
     let answered = async {
--- a/crates/fordrelay/src/peers.rs
+++ b/crates/fordrelay/src/peers.rs
@@ -2,46 +2,86 @@
 
 use api::told::MESSAGE_BYTES;
 use desk::Desk;
+use settings::platform::PeerAddrs;
 use state::Input;
+use std::cell::RefCell;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::time::Duration;
 use tokio::net::UdpSocket;
-use tracing::{debug, warn};
+use tokio::sync::Notify;
+use tracing::{debug, info, warn};
 
-/// The socket, and who is at the other ends.
+/// How often it is tried again to have a port that a process before this one holds.
+const TRY_AGAIN: Duration = Duration::from_millis(100);
+
+/// The socket, if it is held, and who is at the other ends.
 pub struct Peers {
-    socket: UdpSocket,
-    numbers: Vec<SocketAddr>,
+    socket: RefCell<Option<Rc<UdpSocket>>>,
+    left: Notify,
+    addrs: PeerAddrs,
     to: Vec<SocketAddr>,
 }
 
 impl Peers {
-    /// `numbers` holds every dispatcher's address by its number; messages go to `all`, or to each but `me`.
-    pub fn new(socket: UdpSocket, numbers: Vec<SocketAddr>, all: Option<SocketAddr>, me: u32) -> Rc<Self> {
-        let others = || (0..).zip(&numbers).filter(|(n, _)| *n != me).map(|(_, addr)| *addr);
-        let to = all.map_or_else(|| others().collect(), |all| vec![all]);
-        Rc::new(Peers { socket, numbers, to })
+    /// Messages go to all at once where there is an address for that, or to each but `me`.
+    pub fn new(addrs: PeerAddrs, me: u32) -> Rc<Self> {
+        let others = || (0..).zip(&addrs.numbers).filter(|(n, _)| *n != me).map(|(_, addr)| *addr);
+        let to = addrs.all.map_or_else(|| others().collect(), |all| vec![all]);
+        Rc::new(Peers { socket: RefCell::new(None), left: Notify::new(), addrs, to })
+    }
+
+    /// Takes the port.
+    ///
+    /// # Errors
+    /// What the system says.
+    pub async fn bind(&self) -> std::io::Result<()> {
+        let socket = UdpSocket::bind(self.addrs.listen).await?;
+        *self.socket.borrow_mut() = Some(Rc::new(socket));
+        Ok(())
+    }
+
+    /// Takes the port as soon as the process that has it gives it up.
+    pub async fn succeed(&self) {
+        while let Err(e) = self.bind().await {
+            debug!("the port for datagrams is not free yet: {e}");
+            tokio::time::sleep(TRY_AGAIN).await;
+        }
+        info!("datagrams are taken over");
+    }
+
+    /// Gives the port up.
+    pub fn leave(&self) {
+        *self.socket.borrow_mut() = None;
+        self.left.notify_one();
     }
 
     /// Sends a message at once or not at all: it may be lost on the way just as well.
     pub fn tell(&self, message: &[u8]) {
-        if message.is_empty() || message.len() > MESSAGE_BYTES {
+        let socket = self.socket.borrow();
+        let Some(socket) = socket.as_ref().filter(|_| (1..=MESSAGE_BYTES).contains(&message.len())) else {
             return;
-        }
+        };
         for to in &self.to {
-            if let Err(e) = self.socket.try_send_to(message, *to) {
+            if let Err(e) = socket.try_send_to(message, *to) {
                 debug!(%to, "a message was not sent: {e}");
             }
         }
     }
 
-    /// Reports what arrives from addresses that are known.
+    /// Reports what arrives from addresses that are known, until the port is given up.
     pub async fn listen(self: Rc<Self>, desk: Rc<Desk>) {
         let mut buffer = [0; MESSAGE_BYTES + 1];
+        let Some(socket) = self.socket.borrow().clone() else { return };
         loop {
-            match self.socket.recv_from(&mut buffer).await {
+            let received = tokio::select! {
+                biased;
+                () = self.left.notified() => return,
+                received = socket.recv_from(&mut buffer) => received,
+            };
+            match received {
                 Ok((len, _)) if len > MESSAGE_BYTES => warn!("a message is too long"),
-                Ok((len, from)) => match self.numbers.iter().position(|addr| *addr == from) {
+                Ok((len, from)) => match self.addrs.numbers.iter().position(|addr| *addr == from) {
                     Some(number) => {
                         let message = buffer[..len].to_vec();
                         desk.report(Input::Told { from: number as u32, message });
--- /dev/null
+++ b/crates/fordrelay/src/succession.rs
@@ -0,0 +1,221 @@
+//! Taking over from another process of this dispatcher, and being taken over from.
+
+use crate::folder::{path, Folder};
+use desk::{Bounds, Clock, Desk};
+use discovery::Kept;
+use handover::{Event, Note, Place, Word};
+use http1::Listener;
+use settings::list::{List, State as Listed};
+use settings::platform::Config;
+use state::{Input, Ruling, State};
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::rc::Rc;
+use std::time::Duration;
+use tracing::{info, warn};
+
+/// How often the folder is looked at: what operators say at another process counts here within the grace of the rules.
+const LOOK: Duration = Duration::from_millis(50);
+/// How often what is known is written while nothing calls for it at once.
+const WRITE: u64 = 1_000_000;
+/// ... and while another process lives that shares the limits.
+const WRITE_BESIDE: u64 = 200_000;
+/// How long a newcomer waits for the list before it serves without.
+const LIST_WAIT: u64 = 1_500_000;
+/// A list that another process kept is believed for so long.
+const LIST_AGE: u64 = 20_000_000;
+/// How long what a dead process told is kept beside the own note that has it all.
+const DEAD_KEPT: u64 = 3_000_000;
+
+type Told = Note<List, BTreeMap<String, serde_json::Value>>;
+
+/// This process among those of its dispatcher.
+pub struct Succession {
+    folder: RefCell<Folder>,
+    place: Cell<Place>,
+    kept: Rc<RefCell<Kept>>,
+    clock: Clock,
+    began: u64,
+    discovery: String,
+    /// What was found at the start, the newest list and all words.
+    found: RefCell<(Option<Told>, BTreeMap<String, Word>)>,
+    /// The latest words that were taken over.
+    heard: RefCell<BTreeMap<String, Word>>,
+    clients: Cell<usize>,
+    others_clients: Cell<usize>,
+    written: Cell<u64>,
+    /// Since when only dead others are there, and their notes are taken over.
+    dead_since: Cell<Option<u64>>,
+}
+
+fn newest(into: &mut BTreeMap<String, Word>, words: BTreeMap<String, Word>) {
+    for (name, word) in words {
+        let known = into.entry(name).or_insert(word);
+        if word.at > known.at {
+            *known = word;
+        }
+    }
+}
+
+fn input(words: impl IntoIterator<Item = (String, Word)>) -> Input {
+    let ruling = |(name, w): (String, Word)| (name, Ruling { out: w.out, at: w.at, since: w.since });
+    Input::Ruled(words.into_iter().map(ruling).collect())
+}
+
+impl Succession {
+    /// Enters the folder of this dispatcher. Without one it goes on alone.
+    pub fn begin(config: &Config, clock: Clock) -> Option<Rc<Self>> {
+        let at = path(&std::env::temp_dir(), &config.name, &config.listen.to_string());
+        let mut folder = match Folder::enter(at.clone(), clock.now()) {
+            Ok(folder) => folder,
+            Err(e) => {
+                warn!(folder = %at.display(), "nothing passes to other processes or comes from them: {e}");
+                return None;
+            }
+        };
+        let (mut list, mut words): (Option<Told>, _) = (None, BTreeMap::new());
+        for mut note in folder.look() {
+            newest(&mut words, std::mem::take(&mut note.words));
+            if list.as_ref().is_none_or(|l| l.written < note.written) {
+                list = Some(note);
+            }
+        }
+        let others = folder.living();
+        info!(others, words = words.len(), list = list.is_some(), "what other processes told was read");
+        Some(Rc::new(Succession {
+            folder: RefCell::new(folder),
+            place: Cell::new(Place::new(others)),
+            kept: Rc::default(),
+            clock,
+            began: clock.now(),
+            discovery: config.discovery.to_string(),
+            others_clients: Cell::new(list.as_ref().map_or(0, |l| l.clients)),
+            heard: RefCell::new(words.clone()),
+            found: RefCell::new((list, words)),
+            clients: Cell::new(0),
+            written: Cell::new(0),
+            dead_since: Cell::new(None),
+        }))
+    }
+
+    /// Other processes of this dispatcher that live.
+    pub fn others(&self) -> usize {
+        self.place.get().processes() - 1
+    }
+
+    /// Where the list is kept for a successor.
+    pub fn kept(&self) -> Rc<RefCell<Kept>> {
+        Rc::clone(&self.kept)
+    }
+
+    /// The list to begin with: the one that another process held, if it is young and of this discovery; the
+    /// configuration's else, and then what the other ever named is known as gone.
+    pub fn known(&self, configured: Option<List>) -> Option<List> {
+        let found = self.found.borrow_mut().0.take();
+        let Some(Note { written, discovery, list: Some(mut list), .. }) = found else { return configured };
+        let young = self.clock.now().saturating_sub(written) <= LIST_AGE;
+        if young && discovery.as_deref() == Some(&self.discovery) {
+            return Some(list);
+        }
+        let configured = configured?;
+        list.servers.iter_mut().for_each(|entry| entry.state = Listed::Gone);
+        list.servers.retain(|old| configured.servers.iter().all(|entry| entry.id != old.id));
+        list.servers.extend(configured.servers);
+        Some(List { servers: list.servers, ..configured })
+    }
+
+    /// What operators have said at other processes.
+    pub fn words(&self) -> Input {
+        input(std::mem::take(&mut self.found.borrow_mut().1))
+    }
+
+    fn event(&self, event: Event) {
+        let mut place = self.place.get();
+        place.on(event);
+        self.place.set(place);
+    }
+
+    /// Comes back once this process may serve.
+    pub async fn may_serve(&self) {
+        while !self.place.get().accepts() {
+            tokio::time::sleep(LOOK / 5).await;
+        }
+    }
+
+    /// It was told to stop. Tells whether another process serves on.
+    pub fn leave(&self) -> bool {
+        self.event(Event::Stop);
+        !self.place.get().accepts()
+    }
+
+    /// Writes this process's note, if it is time for it.
+    pub fn keep(&self, state: &State, at_once: bool) {
+        let now = self.clock.now();
+        let every = if self.others() > 0 { WRITE_BESIDE } else { WRITE };
+        if !at_once && now < self.written.get() + every {
+            return;
+        }
+        let words =
+            state.rulings().map(|(name, r)| (name.to_owned(), Word { out: r.out, at: r.at, since: r.since }));
+        let words: BTreeMap<String, Word> = words.collect();
+        newest(&mut self.heard.borrow_mut(), words.clone());
+        let note = Told {
+            written: now,
+            clients: self.clients.get(),
+            words,
+            discovery: Some(self.discovery.clone()),
+            list: Some(self.kept.borrow().list()),
+            known: None,
+        };
+        match self.folder.borrow().write(&note) {
+            Ok(()) => self.written.set(now),
+            Err(e) => warn!("what is known can't be kept for a successor: {e}"),
+        }
+    }
+
+    /// Watches the folder for as long as the program runs: takes over what others tell, and holds what all may hold
+    /// together.
+    pub async fn follow(self: Rc<Self>, desk: Rc<Desk>, listener: Rc<Listener>, config: Config) {
+        let mut processes = 0;
+        loop {
+            if desk.has_list() {
+                self.event(Event::Listed);
+            }
+            let now = self.clock.now();
+            if now >= self.began + LIST_WAIT {
+                self.event(Event::Waited);
+            }
+            let notes: Vec<Told> = self.folder.borrow_mut().look();
+            for note in notes {
+                self.others_clients.set(note.clients);
+                // Only what is news: each would answer the other's note with its own else, without end.
+                let mut heard = self.heard.borrow_mut();
+                let news = |(name, word): &(String, Word)| heard.get(name).is_none_or(|h| word.at > h.at);
+                let news: Vec<_> = note.words.into_iter().filter(news).collect();
+                if !news.is_empty() {
+                    newest(&mut heard, news.iter().cloned().collect());
+                    desk.report(input(news));
+                }
+            }
+            let others = self.folder.borrow().living();
+            self.event(Event::Others(others));
+            self.clients.set(listener.open());
+            let share = config.share(1 + others);
+            if processes != 1 + others {
+                processes = 1 + others;
+                info!(processes, ?share, "the limits are there for so many processes");
+                desk.bound(Bounds { flows: share.flows, bytes: share.bytes });
+                desk.report(Input::Connections(share.targets));
+                self.dead_since.set((others == 0).then_some(now));
+            }
+            let others_clients = if others > 0 { self.others_clients.get() } else { 0 };
+            listener.bound(share.clients.saturating_sub(others_clients).max(share.clients / 4).max(1));
+            // Only once the own note, written since, has all that the dead ones told.
+            if self.dead_since.get().is_some_and(|since| now > since + DEAD_KEPT) {
+                self.dead_since.set(None);
+                self.folder.borrow_mut().clear();
+            }
+            tokio::time::sleep(LOOK).await;
+        }
+    }
+}
--- a/crates/http1/src/guard.rs
+++ b/crates/http1/src/guard.rs
@@ -36,6 +36,8 @@
 #[derive(Debug)]
 pub(super) struct Guard {
     stage: Cell<Stage>,
+    /// Something of a request has come, but not all of it.
+    amid: Cell<bool>,
     cut: Notify,
     /// What has come since the last answer, until a head is whole.
     head: RefCell<Heard>,
@@ -52,9 +54,15 @@
 
     /// The request has come whole, or has been refused.
     pub fn answering(&self) {
+        self.amid.set(false);
         self.stage.set(Stage::Answering);
     }
 
+    /// Whether something of a request has come, but not all of it.
+    pub fn amid(&self) -> bool {
+        self.amid.get()
+    }
+
     /// A head is whole: whether the bytes that it came in hold it alone, in chunks and without a length.
     pub fn only_chunks(&self) -> bool {
         self.head.borrow().only_chunks()
@@ -67,6 +75,7 @@
 
     /// The answer is on its way.
     pub fn idle(&self) {
+        self.amid.set(false);
         self.head.borrow_mut().begin();
         self.stage.set(Stage::Idle(Instant::now()));
     }
@@ -83,6 +92,7 @@
 
     fn heard(&self, bytes: &[u8]) {
         self.head.borrow_mut().take(bytes);
+        self.amid.set(self.stage.get() != Stage::Answering);
         if matches!(self.stage.get(), Stage::Idle(_)) {
             self.stage.set(Stage::Asking(Instant::now()));
         }
@@ -112,11 +122,8 @@
     pub fn enter(&self) -> (u64, Rc<Guard>) {
         let number = self.count.get();
         self.count.set(number + 1);
-        let guard = Guard {
-            stage: Cell::new(Stage::Asking(Instant::now())),
-            cut: Notify::new(),
-            head: Default::default(),
-        };
+        let (amid, cut, head) = (Cell::new(false), Notify::new(), Default::default());
+        let guard = Guard { stage: Cell::new(Stage::Asking(Instant::now())), amid, cut, head };
         let guard = Rc::new(guard);
         self.open.borrow_mut().insert(number, Rc::clone(&guard));
         (number, guard)
--- a/crates/http1/src/listener.rs
+++ b/crates/http1/src/listener.rs
@@ -48,6 +48,10 @@
 const OVERFLOW: usize = 16;
 /// How long a request may have been under way when its head is read: its deadline runs from its sending.
 const TRAVEL: Micros = 2_000;
+/// How long a last look for requests takes before a connection is closed, and over how many such spans the closing of
+/// all is spread, so that none waits long between its look and its closing.
+const CLOSING_LOOK: Duration = Duration::from_millis(4);
+const CLOSING_SPREAD: u64 = 32;
 /// How long to wait before accepting again after the system could not.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 /// What a client is told when this dispatcher, not the targets, has too much to do.
@@ -60,6 +64,8 @@
     Serving,
     /// It was told to stop: it still takes what comes, and says that connections end.
     Leaving,
+    /// It was told to stop, and another process takes what comes on the same socket: it says that connections end.
+    Succeeded,
     /// It takes no new connection and closes each that waits for nothing.
     Closing,
 }
@@ -82,6 +88,8 @@
     desk: Rc<Desk>,
     terms: Terms,
     phase: watch::Receiver<Phase>,
+    /// Connections that may be open together.
+    most: Cell<usize>,
     guards: Guards,
     closed: Notify,
     /// What is taken must be answered by then: the platform ends a program that was told to stop.
@@ -177,10 +185,12 @@
 impl Listener {
     /// A listener that is not accepting yet.
     pub fn new(desk: Rc<Desk>, terms: Terms, phase: watch::Receiver<Phase>) -> Rc<Self> {
+        let most = Cell::new(terms.connections);
         Rc::new(Listener {
             desk,
             terms,
             phase,
+            most,
             guards: Guards::default(),
             closed: Notify::new(),
             ends: Cell::new(Micros::MAX),
@@ -192,19 +202,28 @@
         self.ends.set(ends);
     }
 
+    /// So many connections may be open together from now on; those that are open stay.
+    pub fn bound(&self, most: usize) {
+        self.most.set(most);
+    }
+
     /// Connections that are open.
     pub fn open(&self) -> usize {
         self.guards.len()
     }
 
-    /// Accepts connections until the phase is `Closing`, and what the system has accepted by then.
+    /// Accepts connections until another process does or the phase is `Closing`, and what the system has accepted for
+    /// this one alone by then.
     pub async fn accept(self: Rc<Self>, socket: TcpListener) {
         let mut phase = self.phase.clone();
         loop {
+            if *self.phase.borrow() == Phase::Succeeded {
+                return;
+            }
             let accepted = tokio::select! {
                 biased;
                 accepted = socket.accept() => accepted,
-                _ = phase.wait_for(|p| *p == Phase::Closing) => return,
+                _ = phase.wait_for(|p| *p >= Phase::Succeeded) => return,
             };
             match accepted {
                 Ok((stream, _)) => {
@@ -224,8 +243,8 @@
     /// Waits until there is room for one more connection, and makes some where nobody is waited for. Tells
     /// whether that connection is beyond the limit, there only to be told to come again.
     async fn room(&self) -> bool {
-        while self.open() >= self.terms.connections {
-            if self.guards.make_room() == Room::None && self.open() < self.terms.connections + OVERFLOW {
+        while self.open() >= self.most.get() {
+            if self.guards.make_room() == Room::None && self.open() < self.most.get() + OVERFLOW {
                 return true;
             }
             // The rest waits in the system's queue.
@@ -242,12 +261,25 @@
         }
     }
 
+    /// Comes back once a connection that waits for nothing may be closed. Requests that have come, but that nobody has
+    /// looked for yet, are read first: the system is asked for them only when a timer or a socket wakes the program.
+    async fn closing(&self, guard: &Guard, number: u64) {
+        let mut phase = self.phase.clone();
+        if phase.wait_for(|p| *p == Phase::Closing).await.is_err() {
+            return std::future::pending().await;
+        }
+        tokio::time::sleep(CLOSING_LOOK * (1 + (number % CLOSING_SPREAD) as u32)).await;
+        let until = Instant::now() + REQUEST_WAIT;
+        while guard.amid() && Instant::now() < until {
+            tokio::time::sleep(CLOSING_LOOK).await;
+        }
+    }
+
     async fn connection(self: Rc<Self>, stream: TcpStream, crowded: bool, number: u64, guard: Rc<Guard>) {
         if let Err(e) = stream.set_nodelay(true) {
             debug!("can't set TCP_NODELAY: {e}");
         }
         let service = service_fn(|request| Box::pin(self.respond(request, crowded, &guard)));
-        let mut phase = self.phase.clone();
         let mut conn = http1::Builder::new()
             .timer(TokioTimer::new())
             .header_read_timeout(IDLE_WAIT)
@@ -257,7 +289,7 @@
             let result = tokio::select! {
                 biased;
                 result = poll_fn(|cx| conn.poll_without_shutdown(cx)) => result,
-                _ = phase.wait_for(|p| *p == Phase::Closing) => {
+                () = self.closing(&guard, number) => {
                     Pin::new(&mut conn).graceful_shutdown();
                     poll_fn(|cx| conn.poll_without_shutdown(cx)).await
                 }
--- a/crates/settings/src/list.rs
+++ b/crates/settings/src/list.rs
@@ -1,10 +1,10 @@
 //! The list of targets as discovery writes it, and as the platform keeps it for a start.
 
-use serde::Deserialize;
+use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 
 /// The list as discovery writes it, and as the configuration holds it.
-#[derive(Debug, Clone, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct List {
     /// Its version.
     pub version: u64,
@@ -15,7 +15,7 @@
 }
 
 /// One target of the list.
-#[derive(Debug, Clone, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Entry {
     /// Its name, the same at every dispatcher.
     pub id: String,
@@ -41,7 +41,7 @@
 }
 
 /// Whether a listed target takes new work.
-#[derive(Debug, Clone, Copy, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "lowercase")]
 pub enum State {
     /// It does.
--- a/crates/settings/src/platform.rs
+++ b/crates/settings/src/platform.rs
@@ -130,6 +130,19 @@
     pub all: Option<SocketAddr>,
 }
 
+/// What one process of a dispatcher may hold.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Share {
+    /// Connections to targets.
+    pub targets: usize,
+    /// Connections from clients, those of other processes included.
+    pub clients: usize,
+    /// Flows.
+    pub flows: usize,
+    /// Bytes that flows take.
+    pub bytes: usize,
+}
+
 /// What a configuration comes to, defaults included, for who reads it.
 #[derive(Debug, Serialize)]
 pub struct Summary<'a> {
@@ -234,6 +247,20 @@
         }
     }
 
+    /// What each of so many processes may hold, where the limits are there for all of them together.
+    pub fn share(&self, processes: usize) -> Share {
+        let processes = processes.max(1);
+        let shared = self.descriptors.saturating_sub(RESERVED * processes).max(RESERVED);
+        let targets = shared * TARGETS_PERCENT / 100;
+        let buffers = self.memory_bytes / BUFFERS_MEMORY / BUFFER_BYTES;
+        Share {
+            targets: (targets / processes).max(1),
+            clients: (shared - targets).min(buffers).max(1),
+            flows: (self.open_flows / processes).max(1),
+            bytes: self.flow_bytes / processes,
+        }
+    }
+
     /// What it comes to.
     pub fn summary(&self) -> Summary<'_> {
         Summary {
--- a/crates/state/src/lib.rs
+++ b/crates/state/src/lib.rs
@@ -150,6 +150,8 @@
     Force(Option<(usize, Micros)>),
     /// The operators' latest word on targets, here or at another process of this dispatcher.
     Ruled(Vec<(String, Ruling)>),
+    /// So many connections to targets may be open together from now on.
+    Connections(usize),
     /// The time that [`State::wake_at`] named has come.
     Tick,
 }
--- a/crates/state/src/reducer.rs
+++ b/crates/state/src/reducer.rs
@@ -175,6 +175,13 @@
             Input::Force(level) => {
                 self.decide(|decisions, now, actions| decisions.force(now, level, actions))
             }
+            Input::Connections(most) => {
+                self.state.setup.connections = most;
+                for _ in most..self.state.pool.len() {
+                    let Some(longest) = self.state.pool.idle_longest() else { break };
+                    self.close(longest, None);
+                }
+            }
             Input::Tick => {}
         }
     }
