Hand over what is known of targets and work to the next process

Ruled out: discovery (the list came within 0.6 s), the old process's deadlines (few jobs came to it after the signal). Change: the note also has kinds, tallies of classes, the price, and by target back-off, pace, load and the last push while cold; read back it is checked, and single targets are believed for 10 s only and not across a restart of theirs.

--- a/crates/api/src/lib.rs
+++ b/crates/api/src/lib.rs
@@ -2,8 +2,11 @@
 //!
 //! [`told`] is what dispatchers tell each other.
 
+mod known;
 pub mod told;
 
+pub use known::{ClassKnown, Known, WorkerKnown};
+
 use std::fmt;
 use std::sync::Arc;
 
--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -3,6 +3,7 @@
 //! none open it is held. Only `push` sends and only `finish` answers: the rules are kept there.
 
 mod figures;
+mod memory;
 mod terms;
 
 use api::told::kin;
--- a/crates/fordrelay/src/lifecycle.rs
+++ b/crates/fordrelay/src/lifecycle.rs
@@ -229,6 +229,7 @@
     let nothing = Input::Listed { kind: ListKind::Inherited, version: None, entries: vec![] };
     desk.report(known.map_or(nothing, |known| places.input(known, true)));
     if let Some(succession) = &succession {
+        succession.recalled().into_iter().for_each(|known| desk.report(known));
         desk.report(succession.words());
         desk.report(Input::Connections(share.targets));
     }
--- a/crates/fordrelay/src/succession.rs
+++ b/crates/fordrelay/src/succession.rs
@@ -1,6 +1,7 @@
 //! Taking over from another process of this dispatcher, and being taken over from.
 
 use crate::folder::{path, Folder};
+use api::Known;
 use desk::{Bounds, Clock, Desk};
 use discovery::Kept;
 use handover::{Event, Note, Place, Word};
@@ -27,7 +28,15 @@
 /// How long what a dead process told is kept beside the own note that has it all.
 const DEAD_KEPT: u64 = 3_000_000;
 
-type Told = Note<List, BTreeMap<String, serde_json::Value>>;
+/// What is known of the targets, and the classes that it counts by position.
+#[derive(Debug, Clone, PartialEq, serde::Serialize, serde::Deserialize)]
+pub struct Knowledge {
+    classes: Vec<String>,
+    kinds: Vec<String>,
+    known: Known,
+}
+
+type Told = Note<List, Knowledge>;
 
 /// This process among those of its dispatcher.
 pub struct Succession {
@@ -37,6 +46,8 @@
     clock: Clock,
     began: u64,
     discovery: String,
+    classes: Vec<String>,
+    kinds: Vec<String>,
     /// What was found at the start, the newest list and all words.
     found: RefCell<(Option<Told>, BTreeMap<String, Word>)>,
     /// The latest words that were taken over.
@@ -89,6 +100,8 @@
             clock,
             began: clock.now(),
             discovery: config.discovery.to_string(),
+            classes: config.classes.clone(),
+            kinds: config.kinds.clone(),
             others_clients: Cell::new(list.as_ref().map_or(0, |l| l.clients)),
             heard: RefCell::new(words.clone()),
             found: RefCell::new((list, words)),
@@ -111,7 +124,7 @@
     /// The list to begin with: the one that another process held, if it is young and of this discovery; the
     /// configuration's else, and then what the other ever named is known as gone.
     pub fn known(&self, configured: Option<List>) -> Option<List> {
-        let found = self.found.borrow_mut().0.take();
+        let found = self.found.borrow().0.clone();
         let Some(Note { written, discovery, list: Some(mut list), .. }) = found else { return configured };
         let young = self.clock.now().saturating_sub(written) <= LIST_AGE;
         if young && discovery.as_deref() == Some(&self.discovery) {
@@ -124,6 +137,13 @@
         Some(List { servers: list.servers, ..configured })
     }
 
+    /// What another process knew of these targets, if it counted classes and kinds alike.
+    pub fn recalled(&self) -> Option<Input> {
+        let known = self.found.borrow_mut().0.take()?.known?;
+        let alike = known.classes == self.classes && known.kinds == self.kinds;
+        alike.then(|| Input::Recalled(Box::new(known.known)))
+    }
+
     /// What operators have said at other processes.
     pub fn words(&self) -> Input {
         input(std::mem::take(&mut self.found.borrow_mut().1))
@@ -165,7 +185,11 @@
             words,
             discovery: Some(self.discovery.clone()),
             list: Some(self.kept.borrow().list()),
-            known: None,
+            known: Some(Knowledge {
+                classes: self.classes.clone(),
+                kinds: self.kinds.clone(),
+                known: state.known(),
+            }),
         };
         match self.folder.borrow().write(&note) {
             Ok(()) => self.written.set(now),
--- a/crates/levels/src/governed.rs
+++ b/crates/levels/src/governed.rs
@@ -3,7 +3,7 @@
 use crate::gauges::{Gauges, Readings, Usage};
 use crate::ladder::{Cause, Change, Ladder};
 use crate::spec::Spec;
-use api::{Action, Event, ListKind, Micros, Settings, SettingsError};
+use api::{Action, Event, Known, ListKind, Micros, Settings, SettingsError};
 use decide::Dispatcher;
 use std::sync::Arc;
 
@@ -95,6 +95,17 @@
         self.look(out);
     }
 
+    /// What a successor can use.
+    pub fn known(&self) -> Known {
+        self.dispatcher.known()
+    }
+
+    /// Takes over what a predecessor knew.
+    pub fn recall(&mut self, now: Micros, known: &Known) {
+        self.now = self.now.max(now);
+        self.dispatcher.recall(self.now, known);
+    }
+
     /// Takes note of the use of the program's own limits; it counts from the next look on.
     pub fn used(&mut self, usage: Usage) {
         self.watch.iter_mut().for_each(|w| w.usage = usage);
--- a/crates/roster/src/kind.rs
+++ b/crates/roster/src/kind.rs
@@ -8,6 +8,8 @@
 const FREE_QUANTILE: f64 = 0.98;
 /// How fast it is followed, slots for each report.
 const FREE_STEP: f64 = 0.5;
+/// More slots than this no worker has.
+const LARGEST: f64 = 1024.0;
 /// Slots of a job, where only the number of jobs is told.
 const WIDE: f64 = 1.4;
 
@@ -42,6 +44,17 @@
         Some(WIDE * self.slots() * held_per_core(self.size, weight)?)
     }
 
+    /// All that is known, for a successor.
+    pub fn known(&self) -> [f64; 4] {
+        [self.ran, self.above, self.most, self.size]
+    }
+
+    /// What a predecessor knew; what makes no sense counts as nothing known.
+    pub fn recalled([ran, above, most, size]: [f64; 4]) -> Option<Self> {
+        let sane = [ran, most, size].into_iter().all(|v| (0.0..=LARGEST).contains(&v));
+        (sane && above.abs() <= LARGEST).then_some(Kind { ran, above, most, size })
+    }
+
     /// The slots that one of them has, as far as is known.
     pub fn slots(&self) -> f64 {
         self.ran.max((self.base() + self.above).round()).max(1.0)
--- a/crates/state/src/lib.rs
+++ b/crates/state/src/lib.rs
@@ -12,7 +12,7 @@
 pub use counts::{ClassCounts, Counts};
 pub use reducer::{reduce, Seen, State};
 
-use api::{JobId, JobSpec, ListKind, LoadReport, Micros, Outcome, Settings, Status};
+use api::{JobId, JobSpec, Known, ListKind, LoadReport, Micros, Outcome, Settings, Status};
 use bytes::Bytes;
 use levels::{Spec, Usage};
 use std::net::SocketAddr;
@@ -150,6 +150,8 @@
     Force(Option<(usize, Micros)>),
     /// The operators' latest word on targets, here or at another process of this dispatcher.
     Ruled(Vec<(String, Ruling)>),
+    /// What a predecessor knew of the targets that are listed by now.
+    Recalled(Box<Known>),
     /// So many connections to targets may be open together from now on.
     Connections(usize),
     /// The time that [`State::wake_at`] named has come.
--- a/crates/state/src/reducer.rs
+++ b/crates/state/src/reducer.rs
@@ -7,7 +7,7 @@
 use super::{Answer, ConnId, Effect, Input, Ruling, Setup};
 use api::told;
 use api::{
-    Action, Event, Idempotency, JobId, ListKind, LoadReport, Micros, Outcome, Reports, SettingsError,
+    Action, Event, Idempotency, JobId, Known, ListKind, LoadReport, Micros, Outcome, Reports, SettingsError,
     WorkerId,
 };
 use bytes::Bytes;
@@ -53,6 +53,11 @@
         Seen { counts: self.counts.clone(), listed: self.targets.listed(), avoided, status }
     }
 
+    /// What a successor can use.
+    pub fn known(&self) -> Known {
+        self.decisions.known()
+    }
+
     /// The operators' latest word on each target that they ever spoke of.
     pub fn rulings(&self) -> impl Iterator<Item = (&str, Ruling)> {
         self.targets.rulings()
@@ -175,6 +180,7 @@
             Input::Force(level) => {
                 self.decide(|decisions, now, actions| decisions.force(now, level, actions))
             }
+            Input::Recalled(known) => self.state.decisions.recall(self.now, &known),
             Input::Connections(most) => {
                 self.state.setup.connections = most;
                 for _ in most..self.state.pool.len() {
