Refuse jobs at once where operators have left out all that could run them

Need: jobs of a class whose targets are all out were held until their time was up; none of these comes back but by another call. Change: a listed target that is out is told to the decisions as such, apart from one that drains; where all listed ones of a class's kind are out, its jobs are refused with advice, those held included. Tests in virtual time for bans (kept connections, ones that come up, lists that say ready, words in any order, call back as a cold one) and for the figures' identity over random ends of jobs.

--- a/crates/api/src/lib.rs
+++ b/crates/api/src/lib.rs
@@ -312,6 +312,8 @@
     Ready,
     /// It finishes what it has; send nothing new.
     Draining,
+    /// The same, since operators have left it out: until they call it back.
+    Out,
     /// It is gone.
     #[default]
     Gone,
--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -221,8 +221,8 @@
     fn fits(&self, now: Micros, needed: bool) -> bool {
         let Some(rule) = &self.rule else { return true };
         let taken = self.taken.iter().filter(|(since, _)| now < since + rule.window);
-        let allowed =
-            f64::from(rule.minimum) + rule.ratio * taken.map(|(_, jobs)| f64::from(*jobs)).sum::<f64>();
+        let taken: f64 = taken.map(|(_, jobs)| f64::from(*jobs)).sum();
+        let allowed = f64::from(rule.minimum) + rule.ratio * taken;
         let spent = self.spent.iter().filter(|t| now <= **t + rule.window).count();
         allowed as usize > spent + if needed { 0 } else { rule.minimum as usize / 2 }
     }
@@ -385,6 +385,16 @@
         self.fleet.near = self.fleet.ready.iter().filter(zone).copied().collect();
         let shut: Vec<_> = self.workers.iter().filter(|(_, w)| !w.ready()).map(|(id, _)| *id).collect();
         shut.into_iter().for_each(|id| self.hang_up(id, out));
+        let stuck = self.held.iter().filter(|(lane, _)| self.left_out(lane.class)).flat_map(|(_, q)| q);
+        stuck.copied().collect::<Vec<_>>().into_iter().for_each(|id| self.finish(id, out));
+    }
+
+    /// Operators have left out all that run the class: none of them comes back by itself.
+    fn left_out(&self, class: usize) -> bool {
+        let kind = self.settings.classes[class].kind;
+        let listed = self.workers.values().filter(|w| w.listing.status != Status::Gone);
+        let mut runs = listed.filter(|w| kind.is_none_or(|k| k == w.listing.kind)).peekable();
+        runs.peek().is_some() && runs.all(|w| w.listing.status == Status::Out)
     }
 
     /// Connections to a worker that drains or is gone are given back, on the notice and after each outcome.
@@ -407,7 +417,7 @@
         if spec.class >= self.settings.classes.len() || self.jobs.contains_key(&spec.id) {
             return out.push(Action::Fail { job: spec.id });
         }
-        if self.turns_away(&spec) {
+        if self.left_out(spec.class) || self.turns_away(&spec) {
             return out.push(Action::Refuse { job: spec.id, retry_after: self.retry_after() });
         }
         self.budget.take(self.now);
@@ -460,6 +470,7 @@
     }
 
     fn hold(&mut self, id: JobId, first: bool) {
+        self.release(id);
         let homes = self.jobs.get(&id).map_or(vec![], |j| self.homes(j));
         let Some(job) = self.jobs.get_mut(&id) else { return };
         let (class, slots) = (job.spec.class, job.spec.slots.clamp(1.0, 1.0e6).ceil() as u32);
@@ -521,16 +532,17 @@
         let ran = self.settle_worker(leg, outcome);
         let Some(job) = self.jobs.get_mut(&id) else { return };
         job.attempts.get_mut(attempt as usize).map(|a| a.outcome.get_or_insert(outcome));
-        if job.over {
-            if !job.in_flight() {
-                self.jobs.remove(&id);
-            }
-        } else if finished {
+        if job.over && !job.in_flight() {
+            self.jobs.remove(&id);
+        } else if finished && !job.over {
             let latest = job.start_by + span(ran.unwrap_or(0.0));
             let in_time = outcome == Outcome::Done && self.now <= latest;
             self.close(id, in_time, out);
-        } else if !job.in_flight() && job.held.is_none() {
-            self.again(id, out);
+        } else if !job.over && !job.in_flight() && job.held.is_none() {
+            match self.jobs.get(&id).is_some_and(|j| self.hopeless(j) || self.now >= j.spec.expires) {
+                true => self.finish(id, out),
+                false => self.hold(id, true),
+            }
         }
     }
 
@@ -575,15 +587,6 @@
         Some(ran)
     }
 
-    fn again(&mut self, id: JobId, out: &mut Vec<Action>) {
-        let Some(job) = self.jobs.get(&id) else { return };
-        if self.hopeless(job) || self.now >= job.spec.expires {
-            self.finish(id, out);
-        } else {
-            self.hold(id, true);
-        }
-    }
-
     fn spent(&self, job: &Job) -> bool {
         let most = self.fleet.terms.as_ref().map_or(u32::MAX, |t| t.class(job.spec.class).attempts);
         job.attempts.len() >= self.settings.limits.attempts.min(most) as usize
@@ -594,7 +597,7 @@
         let oldest = self.budget.spent.front().zip(self.budget.rule.as_ref());
         let soon = oldest.is_some_and(|(t, rule)| t + rule.window < job.start_by);
         let broke = !job.attempts.is_empty() && !soon && !self.budget.fits(self.now, true);
-        broke || self.spent(job) || !self.repeat_ok(job, None)
+        broke || self.spent(job) || self.left_out(job.spec.class) || !self.repeat_ok(job, None)
     }
 
     /// The one place that sends. None if it may not.
@@ -700,8 +703,8 @@
 
     fn scout(&mut self, out: &mut Vec<Action>) {
         let most = (SCOUTS * self.held.values().map(VecDeque::len).sum::<usize>()).min(MOST_SCOUTS);
+        // So many tries and no more: a draw may find nobody to ask.
         for _ in 0..MOST_SCOUTS {
-            // so many tries and no more: a draw may find nobody to ask
             if self.fleet.scouts.len() < most && self.may_scout() {
                 self.probe(self.bearable(self.fleet.scouted), out);
                 self.fleet.scouted += 1;
@@ -780,11 +783,8 @@
         let again = span(TOLD_FOR / 2.0 * self.mean_run());
         let news = |w: &Worker| w.ready() && w.told_at.is_none_or(|t| self.now > t + again);
         let news = self.workers.iter_mut().filter(|(_, w)| news(w)).take(self.fleet.tell_credit as usize);
-        let mut held = Vec::new();
-        for (id, w) in news {
-            w.told_at = Some(self.now);
-            held.push((*id, w.own() as u32));
-        }
+        let told = |(id, w): (&WorkerId, &mut Worker)| (w.told_at.replace(self.now), (*id, w.own() as u32)).1;
+        let held: Vec<_> = news.map(told).collect();
         self.fleet.tell_credit -= held.len() as f64;
         out.push(Action::Tell { held });
     }
@@ -972,13 +972,10 @@
             self.fleet.price = (self.fleet.price * PRICE_UP).clamp(PRICE_FLOOR, 0.5);
         }
         let again = self.now + (job.spec.expires.saturating_sub(self.now) / 4).max(1_000);
-        if hopeless || self.given_up(job) {
-            self.finish(id, out);
-        } else if was_late {
-            self.clock.timers.push(Reverse((again, Timer::Late(id))));
-        } else {
-            self.release(id);
-            self.hold(id, false);
+        match hopeless || self.given_up(job) {
+            true => self.finish(id, out),
+            false if was_late => self.clock.timers.push(Reverse((again, Timer::Late(id)))),
+            false => self.hold(id, false),
         }
     }
 
@@ -996,8 +993,8 @@
         if movable && !self.spent(job) && self.budget.fits(self.now, false) && self.settings.limits.cancel {
             out.push(Action::Cancel { job: id, attempt });
         } else if idempotency != Idempotency::Unsafe {
-            let at = self.now + self.clock.grace;
-            self.clock.timers.push(Reverse((at, Timer::Overdue(id, attempt, worker))));
+            let again = Timer::Overdue(id, attempt, worker);
+            self.clock.timers.push(Reverse((self.now + self.clock.grace, again)));
         }
         // Where all are full it is no fault of this worker, but each must leave the others their turn.
         let turns = mean_run * INITIAL * f64::from(self.settings.dispatchers - 1);
--- a/crates/decide/src/memory.rs
+++ b/crates/decide/src/memory.rs
@@ -4,7 +4,7 @@
 use api::*;
 use roster::Kind;
 
-/// What is known of single workers is believed for so long after it was told; kinds and classes change slowly.
+/// What is known of single workers is believed for so long; kinds and classes change slowly.
 const WORKERS_AGE: Micros = 10_000_000;
 /// No figure that makes sense is larger.
 const LARGEST: f64 = 1.0e12;
--- a/crates/state/src/targets.rs
+++ b/crates/state/src/targets.rs
@@ -132,12 +132,12 @@
         Some((Some(shown), ruling.out.then_some(worker)))
     }
 
-    /// What the decisions hear of a target: one that is out drains.
+    /// What the decisions hear of a target: one that is out is so whatever the list says, unless it is gone.
     fn shown(&mut self, worker: WorkerId) -> Listing {
         let Some(target) = self.targets.get(worker.0 as usize) else { return Listing::default() };
         let (out, listing) = (self.is_out(&target.name), target.listing.clone());
         let status = match listing.status {
-            Status::Ready if out => Status::Draining,
+            Status::Ready | Status::Draining if out => Status::Out,
             status => status,
         };
         let started = listing.started.max(target.started_from);
--- /dev/null
+++ b/crates/state/tests/service.rs
@@ -0,0 +1,277 @@
+//! What operators do and see: targets out by hand, and figures that add up whatever becomes of a job.
+
+#[path = "../../decide/tests/common/mod.rs"]
+mod common;
+
+use api::*;
+use common::*;
+use proptest::prelude::*;
+use state::{reduce, Answer, ConnId, Effect, Input, Listed, Ruling, Setup, State};
+
+struct Bench {
+    state: State,
+    now: Micros,
+}
+
+fn listed(n: u32, status: Status, started: Option<Micros>) -> Listed {
+    let addr = ([127, 0, 0, 1], 4_000 + n as u16).into();
+    Listed { weight: None, name: format!("s-{n}"), addr, zone: 0, kind: 0, cell: 0, status, started }
+}
+
+impl Bench {
+    fn new(targets: u32) -> Self {
+        let setup = Setup {
+            settings: settings(vec![safe(), unsafe_class()]),
+            seed: 7,
+            me: 0,
+            connections: 10,
+            connect_timeout: 250 * MS,
+            idle: 5_000 * MS,
+            probe_timeout: 400 * MS,
+            levels: None,
+        };
+        let mut bench = Bench { state: State::new(setup).expect("usable"), now: START };
+        bench.list(ListKind::Whole, (0..targets).map(|n| listed(n, Status::Ready, None)).collect());
+        bench
+    }
+
+    fn take(&mut self, input: Input) -> Vec<Effect> {
+        reduce(&mut self.state, self.now, input)
+    }
+
+    fn after(&mut self, span: Micros) -> Vec<Effect> {
+        self.now += span;
+        self.take(Input::Tick)
+    }
+
+    fn list(&mut self, kind: ListKind, entries: Vec<Listed>) -> Vec<Effect> {
+        self.take(Input::Listed { kind, version: Some(1), entries })
+    }
+
+    /// What an operator's call does.
+    fn rule(&mut self, target: &str, out: bool) -> Vec<Effect> {
+        let word = self.state.word(target, out, self.now).expect("it was listed");
+        self.take(Input::Ruled(vec![(target.to_owned(), word)]))
+    }
+
+    fn flow(&mut self, id: u64, class: usize) -> Vec<Effect> {
+        let expires = self.now + 5_000 * MS;
+        let spec = JobSpec { id: JobId(id), class, tenant: 0, slots: 1.0, expires, work: None, key: None };
+        self.take(Input::Taken(spec))
+    }
+
+    fn serve(&mut self, id: u64) {
+        let effects = self.flow(id, 0);
+        let conn = opened(&effects).or(sent(&effects)).expect("it goes out at once").0;
+        self.take(Input::Up(conn));
+        self.take(Input::Sent(conn));
+        let (outcome, result) = (Outcome::Done, Some("r".into()));
+        self.take(Input::Ended { conn, outcome, result, report: None });
+        self.take(Input::Free(conn));
+    }
+
+    /// Pool size, and those avoided.
+    fn pool(&self) -> (usize, usize) {
+        let seen = self.state.seen();
+        (seen.listed, seen.avoided)
+    }
+}
+
+/// A connection that is opened, and the port.
+fn opened(effects: &[Effect]) -> Option<(ConnId, u16)> {
+    effects.iter().find_map(|e| match e {
+        Effect::Open { conn, addr } => Some((*conn, addr.port())),
+        _ => None,
+    })
+}
+
+fn sent(effects: &[Effect]) -> Option<(ConnId, u16)> {
+    effects.iter().find_map(|e| match e {
+        Effect::Send { conn, .. } => Some((*conn, 0)),
+        _ => None,
+    })
+}
+
+fn refused(effects: &[Effect]) -> bool {
+    effects
+        .iter()
+        .any(|e| matches!(e, Effect::Answer { answer: Answer::Refused { retry_after: Some(_) }, .. }))
+}
+
+/// Guards against work that reaches a target which operators have left out: by a kept connection, by one that comes
+/// up, by a list that says it is ready, changed or whole, under the same address or another.
+#[test]
+fn a_target_that_is_out_gets_nothing_whatever_the_list_says() {
+    let mut b = Bench::new(2);
+    for id in 0..6 {
+        b.serve(id);
+    }
+    let coming_up = (10..30).find_map(|id| {
+        let (conn, port) = opened(&b.flow(id, 0))?;
+        (port == 4_000).then_some(conn)
+    });
+    b.rule("s-0", true);
+    assert_eq!(b.pool(), (2, 1));
+    let conn = coming_up.expect("one of them goes there");
+    let effects = b.take(Input::Up(conn));
+    assert!(sent(&effects).is_none_or(|(other, _)| other != conn), "it came up too late");
+    b.list(ListKind::Changes, vec![listed(0, Status::Ready, Some(START))]);
+    b.list(ListKind::Whole, vec![listed(0, Status::Ready, Some(START)), listed(1, Status::Ready, None)]);
+    b.rule("s-0", true);
+    for id in 100..140 {
+        let effects = b.flow(id, 0);
+        assert!(opened(&effects).is_none_or(|(_, port)| port != 4_000));
+        b.after(20 * MS);
+    }
+    // Gone and listed again, it is still out.
+    b.list(ListKind::Whole, vec![listed(1, Status::Ready, None)]);
+    let (size, avoided) = b.pool();
+    b.list(ListKind::Changes, vec![listed(0, Status::Ready, Some(b.now))]);
+    assert_eq!((size, b.pool()), (1, (2, avoided + 1)));
+}
+
+/// Guards against a target that starves after its call back, and against one that is pushed over, since it was started
+/// anew while it was out and the list does not know yet.
+#[test]
+fn one_call_back_ends_it_and_the_target_is_filled_as_a_cold_one() {
+    let mut b = Bench::new(1);
+    b.rule("s-0", true);
+    b.after(3_000 * MS);
+    b.rule("s-0", true);
+    b.after(7_000 * MS);
+    b.rule("s-0", false);
+    let (mut gaps, mut last) = (vec![], b.now);
+    for id in 0..200 {
+        let effects = b.flow(id, 0);
+        let later = b.after(25 * MS);
+        if let Some((conn, _)) = opened(&effects).or(opened(&later)) {
+            gaps.push(b.now - last);
+            last = b.now;
+            b.take(Input::Up(conn));
+            b.take(Input::Started(conn));
+            let (outcome, result) = (Outcome::Done, Some("r".into()));
+            b.take(Input::Ended { conn, outcome, result, report: None });
+            b.take(Input::Closed { conn, unsent: false });
+        }
+    }
+    // At 0.2 of four slots at the start, 6 s of 20 s on, jobs of 400 ms: some a second, not all forty.
+    assert!((5..100).contains(&gaps.len()), "{} in 5 s: {gaps:?}", gaps.len());
+    // A call back of what is not out changes nothing.
+    let word = b.state.word("s-0", false, b.now).unwrap();
+    assert_eq!(word.since, word.at);
+    assert!(b.state.word("s-9", true, b.now).is_none(), "never listed");
+}
+
+/// Guards against two processes that fall out over who spoke last.
+#[test]
+fn the_latest_word_counts_in_whatever_order_they_come() {
+    let word = |out, at| Ruling { out, at, since: at };
+    for words in [[word(true, 5), word(false, 9)], [word(false, 9), word(true, 5)]] {
+        let mut b = Bench::new(2);
+        for ruling in words {
+            b.take(Input::Ruled(vec![("s-1".into(), ruling), ("s-7".into(), word(true, 3))]));
+        }
+        assert_eq!(b.pool(), (2, 0));
+        assert_eq!(b.state.rulings().find(|(name, _)| *name == "s-1").unwrap().1.at, 9);
+        b.list(ListKind::Changes, vec![listed(7, Status::Ready, None)]);
+        assert_eq!(b.pool(), (3, 1), "said before the list named it");
+    }
+}
+
+/// Guards against jobs that wait for targets which come back only by another call.
+#[test]
+fn with_all_targets_out_jobs_are_refused_at_once_with_advice() {
+    let mut b = Bench::new(2);
+    b.rule("s-0", true);
+    b.list(ListKind::Changes, vec![listed(1, Status::Draining, None)]);
+    assert!(!refused(&b.flow(1, 1)), "one drains: another may come");
+    assert!(refused(&b.rule("s-1", true)), "what was held");
+    assert!(refused(&b.flow(2, 1)));
+    b.list(ListKind::Changes, vec![listed(1, Status::Ready, None)]);
+    b.rule("s-1", false);
+    let effects = b.flow(3, 0);
+    assert!(!refused(&effects) && opened(&effects).or(opened(&b.after(2_000 * MS))).is_some());
+}
+
+#[derive(Debug, Clone)]
+enum Step {
+    Take(usize),
+    Leave(u64),
+    Up(u64),
+    Sent(u64),
+    End(u64, u8),
+    Close(u64, bool),
+    TurnBack(usize, bool),
+    Rule(u32, bool),
+    Wait(u64),
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    prop_oneof![
+        4 => (0usize..3).prop_map(Step::Take),
+        1 => (0u64..40).prop_map(Step::Leave),
+        4 => (1u64..40).prop_map(Step::Up),
+        4 => (1u64..40).prop_map(Step::Sent),
+        4 => (1u64..40, 0u8..7).prop_map(|(conn, how)| Step::End(conn, how)),
+        3 => (1u64..40, any::<bool>()).prop_map(|(conn, unsent)| Step::Close(conn, unsent)),
+        1 => (0usize..3, any::<bool>()).prop_map(|(class, shed)| Step::TurnBack(class, shed)),
+        1 => (0u32..3, any::<bool>()).prop_map(|(target, out)| Step::Rule(target, out)),
+        2 => (1u64..3_000).prop_map(Step::Wait),
+    ]
+}
+
+proptest! {
+    /// For every way that a job can end: each is counted once, as what its client was answered, and none twice.
+    #[test]
+    fn taken_is_ended_and_active_and_each_answer_counts_once(
+        steps in prop::collection::vec(step(), 1..120),
+    ) {
+        let mut b = Bench::new(3);
+        let (mut jobs, mut answers, mut turned) = (0, [0u64; 3], 0);
+        for step in steps {
+            let effects = match step {
+                Step::Take(class) => {
+                    jobs += 1;
+                    b.flow(jobs - 1, class.min(1))
+                }
+                Step::Leave(flow) => b.take(Input::Left(JobId(flow))),
+                Step::Up(conn) => b.take(Input::Up(ConnId(conn))),
+                Step::Sent(conn) => b.take(Input::Sent(ConnId(conn))),
+                Step::End(conn, how) => {
+                    let outcomes = [Outcome::Done, Outcome::Error, Outcome::Full, Outcome::Reset];
+                    let result = (how == 0).then(|| "r".into());
+                    match outcomes.get(usize::from(how)) {
+                        Some(outcome) => {
+                            let (conn, outcome) = (ConnId(conn), *outcome);
+                            b.take(Input::Ended { conn, outcome, result, report: None })
+                        }
+                        None => b.take(Input::Unusable { conn: ConnId(conn), report: None }),
+                    }
+                }
+                Step::Close(conn, unsent) => b.take(Input::Closed { conn: ConnId(conn), unsent }),
+                Step::TurnBack(class, shed) => {
+                    turned += u64::from(class < 2);
+                    let answer = if shed { Answer::Refused { retry_after: None } } else { Answer::Failed };
+                    b.take(Input::TurnedBack { class, answer })
+                }
+                Step::Rule(target, out) => b.rule(&format!("s-{target}"), out),
+                Step::Wait(ms) => b.after(ms * MS),
+            };
+            for effect in &effects {
+                match effect {
+                    Effect::Answer { answer: Answer::Served(_), .. } => answers[0] += 1,
+                    Effect::Answer { answer: Answer::Refused { .. }, .. } => answers[1] += 1,
+                    Effect::Answer { .. } => answers[2] += 1,
+                    _ => {}
+                }
+            }
+            let counts = b.state.seen().counts;
+            let sum = |of: fn(&state::ClassCounts) -> u64| counts.classes.iter().map(of).sum::<u64>();
+            prop_assert_eq!(sum(|c| c.taken), jobs + turned);
+            prop_assert_eq!(sum(|c| c.taken), sum(|c| c.ended()) + counts.active());
+            prop_assert_eq!(sum(|c| c.ok), answers[0]);
+            prop_assert_eq!(sum(|c| c.shed) + sum(|c| c.errors), answers[1] + answers[2] + turned);
+            prop_assert!(sum(|c| c.gone) <= jobs);
+        }
+    }
+}
