Let up take a new version in and boxes out; an operators' address may still be taken

Need: a process that takes over could not start where the HCL file has a listener for operators, since the old one holds that address.

--- a/crates/admin/src/lib.rs
+++ b/crates/admin/src/lib.rs
@@ -10,4 +10,4 @@
 
 pub use client::{ask, ClientError};
 pub use figures::recorder;
-pub use server::{start, Bounds};
+pub use server::{start, Bounds, Door};
--- a/crates/admin/src/server.rs
+++ b/crates/admin/src/server.rs
@@ -19,12 +19,13 @@
 use std::collections::BTreeMap;
 use std::convert::Infallible;
 use std::io;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Notify;
 use tokio::task::{spawn_local, LocalSet};
-use tracing::{debug, warn};
+use tracing::{debug, info, warn};
 
 /// Largest head of a request.
 const LARGEST_HEAD: usize = 8 * 1024;
@@ -32,6 +33,8 @@
 const LARGEST_BODY: usize = 8 * 1024;
 /// How long to wait before accepting again after the system could not.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+/// How often it is tried to have an address that another process has.
+const TAKEN_PAUSE: Duration = Duration::from_millis(100);
 /// A level is forced for so long where the request does not say.
 const FORCED_MS: u64 = 600_000;
 /// How long the loop may take to show what it knows before what it laid out last is shown.
@@ -50,6 +53,15 @@
     pub request_wait: Duration,
 }
 
+/// Where calls come.
+#[derive(Debug)]
+pub enum Door {
+    /// On this socket.
+    Open(std::net::TcpListener),
+    /// On this address, as soon as the process that has it gives it up.
+    Taken(SocketAddr),
+}
+
 /// Answers the calls on every socket that it is given.
 pub struct Server {
     window: Window,
@@ -79,18 +91,20 @@
     window: Window,
     metrics: PrometheusHandle,
     classes: Vec<String>,
-    sockets: Vec<(std::net::TcpListener, Bounds)>,
+    doors: Vec<(Door, Bounds)>,
 ) -> io::Result<()> {
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
-    sockets.iter().try_for_each(|(socket, _)| socket.set_nonblocking(true))?;
     let server = move || {
         let server = Rc::new(Server { window, metrics, classes });
         LocalSet::new().block_on(&runtime, async {
-            for (socket, bounds) in sockets {
-                match TcpListener::from_std(socket) {
-                    Ok(socket) => drop(spawn_local(Rc::clone(&server).accept(socket, bounds))),
-                    Err(e) => warn!("operators can't be answered: {e}"),
-                }
+            for (door, bounds) in doors {
+                let server = Rc::clone(&server);
+                spawn_local(async move {
+                    match open(door).await {
+                        Ok(socket) => server.accept(socket, bounds).await,
+                        Err(e) => warn!("operators can't be answered: {e}"),
+                    }
+                });
             }
             std::future::pending::<()>().await;
         });
@@ -98,6 +112,24 @@
     std::thread::Builder::new().name("admin".into()).spawn(server).map(drop)
 }
 
+async fn open(door: Door) -> io::Result<TcpListener> {
+    match door {
+        Door::Open(socket) => {
+            socket.set_nonblocking(true)?;
+            TcpListener::from_std(socket)
+        }
+        Door::Taken(addr) => loop {
+            match TcpListener::bind(addr).await {
+                Err(e) if e.kind() == io::ErrorKind::AddrInUse => tokio::time::sleep(TAKEN_PAUSE).await,
+                bound => {
+                    info!("operators are answered on {addr} by this process now");
+                    return bound;
+                }
+            }
+        },
+    }
+}
+
 /// One connection, as far as others need its room.
 struct Open {
     /// Its request has not come whole.
--- a/crates/fordrelay/src/lifecycle.rs
+++ b/crates/fordrelay/src/lifecycle.rs
@@ -241,20 +241,27 @@
     spawn_local(reload(hangup, files.clone(), logs, Rc::clone(&desk), classes.clone(), discovery_at));
     spawn_local(usage::watch(Rc::clone(&desk), limits));
     if let Some(metrics) = metrics {
-        let mut sockets = vec![];
+        let mut doors = vec![];
         if let Some(addr) = config.admin {
             let socket = std::net::TcpListener::bind(addr).map_err(bind("admin_addr", addr))?;
             info!("the platform's calls are answered on {}", socket.local_addr()?);
-            sockets.push((socket, PLATFORM_CALLS));
+            doors.push((admin::Door::Open(socket), PLATFORM_CALLS));
         }
         if let Some(admin) = operator.admin {
             let addr = admin.listen;
-            let socket = std::net::TcpListener::bind(addr).map_err(bind("admin.listen", addr))?;
-            info!("operators are answered on {}", socket.local_addr()?);
             let request_wait = Duration::from_millis(admin.request_ms);
-            sockets.push((socket, admin::Bounds { connections: admin.connections, request_wait }));
+            let door = match std::net::TcpListener::bind(addr) {
+                // The process that this one takes over from has it, and gives it up when it ends.
+                Err(e) if others > 0 && e.kind() == std::io::ErrorKind::AddrInUse => admin::Door::Taken(addr),
+                bound => {
+                    let socket = bound.map_err(bind("admin.listen", addr))?;
+                    info!("operators are answered on {}", socket.local_addr()?);
+                    admin::Door::Open(socket)
+                }
+            };
+            doors.push((door, admin::Bounds { connections: admin.connections, request_wait }));
         }
-        admin::start(inputs.window(&state, &desk), metrics, classes, sockets)?;
+        admin::start(inputs.window(&state, &desk), metrics, classes, doors)?;
     }
     let sockets =
         Sockets { desk: Rc::clone(&desk), watches, peers: peers.clone(), succession: succession.clone() };
--- a/crates/lab/src/up.rs
+++ b/crates/lab/src/up.rs
@@ -1,15 +1,17 @@
 //! A fleet and one dispatcher to try things with, until Ctrl-C.
 
-use crate::dispatcher::{self, DispatcherError};
+use crate::dispatcher::DispatcherError;
 use crate::fleet::{Fleet, World};
 use crate::load::Clients;
-use crate::scenario::{Fault, Scenario, SECOND};
+use crate::scenario::{name, Addresses, Fault, Scenario, SECOND};
+use crate::upgrade::{Platform, Process};
 use std::path::Path;
 use std::rc::Rc;
 use tokio::io::{AsyncBufReadExt, BufReader};
 use tokio::task::{spawn_local, LocalSet};
 
-const HELP: &str = "kill N, start N, hang N, mend N, slow N SHARE, drain N, boxes, help, quit";
+const HELP: &str =
+    "kill N, start N, hang N, mend N, slow N SHARE, drain N, out N, back N, upgrade, boxes, help, quit";
 
 /// What is started.
 #[derive(Debug, Clone)]
@@ -41,12 +43,24 @@
     scenario.end = terms.seconds.unwrap_or(24 * 3_600) * SECOND;
     let world = World::new(scenario.clone());
     let fleet = Fleet::start(Rc::clone(&world)).await?;
-    let dispatchers = dispatcher::start(&world, &fleet, folder, operator, 1).await?;
-    let Some(first) = dispatchers.first() else { return Ok(()) };
-    let (listen, admin) = (first.listen, first.admin);
+    let socket = std::net::TcpListener::bind("127.0.0.1:0")?;
+    let (listen, admin) = (socket.local_addr()?, std::net::TcpListener::bind("127.0.0.1:0")?.local_addr()?);
+    let addrs = Addresses {
+        listen: listen.to_string(),
+        discovery: fleet.discovery(0).map_or(String::new(), |a| a.to_string()),
+        peers: vec![std::net::UdpSocket::bind("127.0.0.1:0")?.local_addr()?.to_string()],
+        boxes: fleet.boxes(0),
+    };
+    let (config, hcl) = (folder.join("dispatcher.json"), folder.join("dispatcher.hcl"));
+    std::fs::write(&config, scenario.config(0, &addrs, 1))?;
+    std::fs::write(&hcl, format!("{operator}\nadmin {{\n  listen = \"{admin}\"\n}}\n"))?;
+    let platform = Platform { socket, folder: folder.to_owned(), config, operator: Some(hcl) };
+    let first = platform.start(0)?;
+    first.ready().await?;
     println!(
-        "{} boxes, one dispatcher on {listen}, operators on {admin}, log {}",
+        "{} boxes, one dispatcher on {listen}, operators on {admin}, the platform's calls on {}, log {}",
         terms.boxes,
+        first.admin,
         first.log.display()
     );
     println!(
@@ -69,18 +83,17 @@
     arrivals.iter_mut().for_each(|a| a.at += began);
     let clients = Clients::new(Rc::clone(&world), vec![listen]);
     let playing = spawn_local(async move { clients.play(arrivals).await });
+    let mut current = first;
     let ends = tokio::time::sleep(std::time::Duration::from_secs(terms.seconds.unwrap_or(24 * 3_600)));
     tokio::select! {
         _ = tokio::signal::ctrl_c() => {}
         () = ends => {}
-        () = obey(&world, &fleet) => {}
+        () = obey(&world, &fleet, &platform, &mut current) => {}
     }
     println!("stopping");
     // Clients first: what they had asked for is nobody's then.
     playing.abort();
-    for dispatcher in dispatchers {
-        dispatcher.stop().await?;
-    }
+    current.stop().await?;
     let checker = world.checker.borrow();
     for (class, score) in scenario.classes.iter().zip(checker.scores()) {
         println!("{}: {} asked, {:.3} in time", class.name, score.asked, score.share());
@@ -91,14 +104,41 @@
     Ok(())
 }
 
+/// Starts another process on the same socket, and has the old one end once it is ready.
+async fn upgrade(platform: &Platform, current: &mut Process, number: usize) -> std::io::Result<String> {
+    let new = platform.start(number)?;
+    let ready = new.ready().await?;
+    let text = format!("process {number} was ready after {ready:?}; its calls are on {}", new.admin);
+    let ended = std::mem::replace(current, new).stop().await?;
+    Ok(format!("{text}; the old one ended after {ended:?}"))
+}
+
 /// Does what is typed, until it is to quit. The end of the input is none: nobody may be typing.
-async fn obey(world: &Rc<World>, fleet: &Rc<Fleet>) {
+async fn obey(world: &Rc<World>, fleet: &Rc<Fleet>, platform: &Platform, current: &mut Process) {
+    let mut started = 0;
     let mut lines = BufReader::new(tokio::io::stdin()).lines();
     while let Ok(Some(line)) = lines.next_line().await {
         let words: Vec<&str> = line.split_ascii_whitespace().collect();
         let number = words.get(1).and_then(|n| n.parse::<usize>().ok());
         let fault = match (words.first().copied(), number) {
             (Some("quit"), _) => return,
+            (Some(word @ ("out" | "back")), Some(at)) => {
+                let (name, verb) = (name(at), if word == "out" { "disable" } else { "enable" });
+                let path = format!("/-/runners/{name}/{verb}");
+                match admin::ask(current.admin, hyper::Method::PUT, &path).await {
+                    Ok(text) => print!("{text}"),
+                    Err(e) => println!("{e}"),
+                }
+                continue;
+            }
+            (Some("upgrade"), _) => {
+                started += 1;
+                match upgrade(platform, current, started).await {
+                    Ok(text) => println!("{text}"),
+                    Err(e) => println!("the old process serves on: {e}"),
+                }
+                continue;
+            }
             (Some("boxes"), _) => {
                 print!("{}", fleet.show());
                 continue;
--- a/crates/lab/src/upgrade.rs
+++ b/crates/lab/src/upgrade.rs
@@ -121,43 +121,54 @@
 }
 
 /// One process of the dispatcher.
-struct Process {
+pub(crate) struct Process {
     child: Child,
-    admin: SocketAddr,
+    /// Its second address.
+    pub admin: SocketAddr,
+    /// Its log.
+    pub log: PathBuf,
 }
 
 /// How processes of one dispatcher are started.
-struct Platform {
-    socket: TcpListener,
-    folder: PathBuf,
-    config: PathBuf,
+pub(crate) struct Platform {
+    /// The clients' socket, which outlives them all.
+    pub socket: TcpListener,
+    /// Where their files go, and what passes between them.
+    pub folder: PathBuf,
+    /// The platform's configuration.
+    pub config: PathBuf,
+    /// The operators' file.
+    pub operator: Option<PathBuf>,
 }
 
 impl Platform {
-    fn start(&self, number: usize) -> std::io::Result<Process> {
+    /// Starts the process of this number, beside whatever others run.
+    pub fn start(&self, number: usize) -> std::io::Result<Process> {
         let admin = TcpListener::bind("127.0.0.1:0")?.local_addr()?;
-        let log = std::fs::File::create(self.folder.join(format!("process-{number}.log")))?;
+        let log = self.folder.join(format!("process-{number}.log"));
+        let operator = self.operator.iter().flat_map(|file| ["--operator".as_ref(), file.as_os_str()]);
         // Safe code can hand a descriptor on only as a standard stream; the shell gives it its number.
         let child = Command::new("sh")
             .arg("-c")
-            .arg(format!("exec \"$0\" dispatcher --config \"$1\" {DESCRIPTOR}<&0 0</dev/null"))
+            .arg(format!("exec \"$0\" dispatcher --config \"$@\" {DESCRIPTOR}<&0 0</dev/null"))
             .arg(std::env::current_exe()?)
             .arg(&self.config)
+            .args(operator)
             .env("ROUTER_INHERITED_FD", DESCRIPTOR.to_string())
             .env("ROUTER_ADMIN_ADDR", admin.to_string())
             .env("TMPDIR", &self.folder)
             .stdin(Stdio::from(OwnedFd::from(self.socket.try_clone()?)))
             .stdout(Stdio::null())
-            .stderr(log)
+            .stderr(std::fs::File::create(&log)?)
             .kill_on_drop(true)
             .spawn()?;
-        Ok(Process { child, admin })
+        Ok(Process { child, admin, log })
     }
 }
 
 impl Process {
     /// Waits until it says that it is ready.
-    async fn ready(&self) -> std::io::Result<Duration> {
+    pub async fn ready(&self) -> std::io::Result<Duration> {
         let began = Instant::now();
         while admin::ask(self.admin, Method::GET, "/-/ready").await.is_err() {
             if began.elapsed() > READY {
@@ -169,7 +180,7 @@
     }
 
     /// Tells it to end, and kills it where it does not. Returns how long that took.
-    async fn stop(mut self) -> std::io::Result<Duration> {
+    pub async fn stop(mut self) -> std::io::Result<Duration> {
         let began = Instant::now();
         if let Some(id) = self.child.id() {
             Command::new("kill").args(["-s", "TERM", &id.to_string()]).status().await?;
@@ -287,7 +298,7 @@
     };
     let config = folder.join("config.json");
     std::fs::write(&config, scenario.config(0, &addrs, terms.seed))?;
-    let platform = Platform { socket, folder: folder.to_owned(), config };
+    let platform = Platform { socket, folder: folder.to_owned(), config, operator: None };
     let current = platform.start(0)?;
     current.ready().await?;
     let rng = Pcg64Mcg::seed_from_u64(terms.seed);
