Leave a cold target alone by what was sent last, not by the size of the next job

Ruled out: queueing at targets (0.02 to 0.1 s), back-off, the upgrade itself (settle waited as long between upgrades). Change: the pause after a push is its own work over the dispatcher's part of what the target stands. The sum over any window is bounded as before: only which end of it may hold the largest job has changed.

--- a/crates/api/src/known.rs
+++ b/crates/api/src/known.rs
@@ -45,6 +45,6 @@
     pub runs: (f64, f64),
     /// Slots that are held there, those of own jobs included, and when that was reported.
     pub held: (f64, Option<Micros>),
-    /// When it was last sent to while it was cold.
-    pub cold_since: Micros,
+    /// When it was last sent to while it was cold, and how much work, in slots times microseconds.
+    pub cold: (Micros, Option<f64>),
 }
--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -135,8 +135,7 @@
     used: Option<Micros>, // last sent to or heard of, since its connections were last given back
     errors: u32,
     quiet: figures::Quiet,
-    cold_since: Micros, // when it was last sent to, or its start was told
-    cold_wait: f64,     // the share of a gap that a cold worker is left from then
+    cold: (Micros, f64, Option<f64>), // sent to or started, the share of a gap left then, the work sent
 }
 
 impl Worker {
@@ -375,7 +374,7 @@
                 (worker.backoff, worker.quiet) = Default::default();
                 (worker.others, worker.reported) = (0.0, None);
                 // All dispatchers hear of it about now: each comes in at a time of its own.
-                (worker.cold_since, worker.cold_wait) = (self.now, unit(&mut self.rng));
+                worker.cold = (self.now, unit(&mut self.rng), None);
                 self.fleet.reach.reached(entry.zone);
             }
             worker.listing = Listing { started, ..entry.clone() };
@@ -624,7 +623,7 @@
         } + self.clock.grace;
         w.outstanding.push(Outstanding { job: id, attempt, slots, work, sent, due, started: None });
         w.backoff.pushed(self.now);
-        (w.cold_since, w.cold_wait) = (self.now, 1.0);
+        w.cold = (self.now, 1.0, Some(slots * work));
         w.told_at = None;
         self.fleet.own += slots;
         self.fleet.used.retain(|id| *id != worker);
@@ -676,9 +675,11 @@
         let shown = if told { kind.shown() } else { kind.slots() };
         let (work, capacity) = (job.spec.slots * job.work, shown * share);
         let tips = rules.tip_multiple * capacity;
-        let gap = work * f64::from(self.settings.dispatchers) / (COLD_SAFETY * tips).max(1.0e-9);
-        let waited = self.now.saturating_sub(w.cold_since) as f64;
-        share >= 1.0 || work <= COLD_JOB * tips * rules.tip_window as f64 && waited >= w.cold_wait * gap
+        // By what was sent last, not by this job: small ones would keep a wide one from ever going there.
+        let (since, wait, sent) = w.cold;
+        let spent = sent.unwrap_or(work) * f64::from(self.settings.dispatchers);
+        let gap = wait * spent / (COLD_SAFETY * tips).max(1.0e-9);
+        share >= 1.0 || work <= COLD_JOB * tips * rules.tip_window as f64 && self.now >= since + span(gap)
     }
 
     fn on_report(&mut self, worker: WorkerId, report: Option<LoadReport>) {
--- a/crates/decide/src/memory.rs
+++ b/crates/decide/src/memory.rs
@@ -23,7 +23,7 @@
             runs: (w.expected, w.actual),
             // The successor's jobs are others than these.
             held: (w.others + w.own(), w.reported.or((w.own() > 0.0).then_some(self.now))),
-            cold_since: w.cold_since,
+            cold: (w.cold.0, w.cold.2),
         };
         let class = |t: &super::Tally| ClassKnown {
             run: (t.run, t.runs),
@@ -75,7 +75,7 @@
             if sane(told.held.0) {
                 (w.others, w.reported) = (told.held.0, told.held.1.map(|at| at.min(now)));
             }
-            (w.cold_since, w.cold_wait) = (told.cold_since.min(now), 1.0);
+            w.cold = (told.cold.0.min(now), 1.0, told.cold.1.filter(|work| sane(*work)));
         }
     }
 }
--- a/crates/decide/tests/rules.rs
+++ b/crates/decide/tests/rules.rs
@@ -266,6 +266,37 @@
     assert!(cold_load(25_000 * MS, 1, 7) > 2.4, "a warm worker has no budget");
 }
 
+/// Found on upgrade+hand: settle waited up to 4.5 s at cold workers, since small jobs went there all the time, and the
+/// pause before a wide one was counted anew from each of them.
+#[test]
+fn small_jobs_do_not_keep_a_wide_one_from_a_cold_worker() {
+    let wide = Class { worth: 5.0, ..unsafe_class() };
+    let mut s = settings(vec![safe(), wide]);
+    (s.reports, s.limits.probe) = (Reports::None, false);
+    let mut rig = Rig::new(s, 0);
+    rig.work = Some(100 * MS);
+    rig.list(ListKind::Changes, vec![Listing { started: Some(rig.now), ..listing(0) }]);
+    let (mut waits, mut smalls) = (None, 0);
+    for id in 0..300 {
+        let mut out = if id % 12 == 0 { pushes(&rig.job(id, 0, 1.0)) } else { vec![] };
+        if id == 50 {
+            out.extend(pushes(&rig.job(1_000, 1, 4.0)));
+        }
+        rig.now += 10 * MS;
+        out.extend(pushes(&rig.after(0)));
+        while let Some((job, worker)) = out.pop() {
+            match job {
+                1_000 => waits = Some(id - 50),
+                _ => smalls += 1,
+            }
+            rig.started(job, 0, worker);
+            out.extend(pushes(&rig.ended(job, 0, worker, Outcome::Done)));
+        }
+    }
+    assert!(waits.is_some_and(|tens| tens < 20), "{waits:?} times 10 ms");
+    assert!(smalls >= 15, "{smalls}");
+}
+
 #[test]
 fn many_dispatchers_neither_starve_a_cold_worker_nor_push_it_over() {
     // A part below one job was never sent: with hundreds of dispatchers successors stood idle until warm.
