Test the second address and faulty inherited sockets on the whole program

Ready, figures, bans, wrong calls, callers that say nothing, a stop; a second process whose socket is no number, not open or no listener says so and leaves the first alone.

--- a/crates/fordrelay/tests/serve.rs
+++ b/crates/fordrelay/tests/serve.rs
@@ -133,6 +133,8 @@
 struct Program {
     child: Child,
     addr: SocketAddr,
+    /// Its second address.
+    admin: SocketAddr,
     log: BufReader<std::process::ChildStderr>,
     config: PathBuf,
 }
@@ -167,18 +169,20 @@
             .args(["-c", &format!("ulimit -n {descriptors} && exec \"$0\" serve --config \"$1\"")])
             .arg(env!("CARGO_BIN_EXE_fordrelay"))
             .arg(&config)
+            .env("ROUTER_ADMIN_ADDR", "127.0.0.1:0")
             .stderr(Stdio::piped())
             .spawn()
             .unwrap();
         let mut log = BufReader::new(child.stderr.take().unwrap());
-        let addr = loop {
+        let mut said = |text: &str| loop {
             let mut line = String::new();
             assert!(log.read_line(&mut line).unwrap() > 0, "the program ended before it served");
-            if let Some((_, addr)) = line.trim().split_once("serving on ") {
+            if let Some((_, addr)) = line.trim().split_once(text) {
                 break addr.split(' ').next().unwrap().parse().unwrap();
             }
         };
-        Program { child, addr, log, config }
+        let (admin, addr) = (said("calls are answered on "), said("serving on "));
+        Program { child, addr, admin, log, config }
     }
 
     /// Reads the log until a line holds the text.
@@ -199,6 +203,15 @@
         BufReader::new(TcpStream::connect(self.addr).unwrap())
     }
 
+    /// A call on the second address: its status, and all that came.
+    fn call(&self, method: &str, path: &str) -> (String, String) {
+        let mut stream = TcpStream::connect(self.admin).unwrap();
+        write!(stream, "{method} {path} HTTP/1.1\r\nHost: h\r\n\r\n").unwrap();
+        let mut text = String::new();
+        stream.read_to_string(&mut text).unwrap();
+        (text.split(' ').nth(1).unwrap_or("").to_owned(), text)
+    }
+
     fn ask(&self, class: &str) -> Message {
         let mut client = self.connect();
         client.get_mut().write_all(job(class).as_bytes()).unwrap();
@@ -250,6 +263,67 @@
     }
 }
 
+/// The second address from the first moment to the last; callers that say nothing, or half a call, keep nobody out.
+#[test]
+fn operators_are_answered_on_the_second_address() {
+    let target = serving();
+    let (program, _calls) = with_target(&target);
+    let silent: Vec<_> = (0..20).map(|_| TcpStream::connect(program.admin).unwrap()).collect();
+    silent.iter().skip(10).for_each(|mut s| s.write_all(b"PUT /-/runners/s-0/dis").unwrap());
+    let figures = |lines: &[&str]| {
+        let (status, text) = program.call("GET", "/-/metrics");
+        assert_eq!(status, "200");
+        lines.iter().for_each(|line| assert!(text.lines().any(|l| l == *line), "{line} in {text}"));
+    };
+    assert_eq!(program.call("GET", "/-/ready").0, "200");
+    figures(&[
+        r#"svc_responses{kind="settle",result="errors"} 0"#,
+        r#"svc_tries{kind="watch"} 0"#,
+        "svc_active 0",
+    ]);
+    assert_eq!(program.ask("watch").status(), "200");
+    figures(&[
+        r#"svc_responses{kind="watch",result="ok"} 1"#,
+        r#"svc_tries{kind="watch"} 1"#,
+        "svc_pool_ejected 0",
+    ]);
+    for (method, path, status) in [
+        ("PUT", "/-/runners/s-9/disable", "404"),
+        ("GET", "/-/runners/s-0/disable", "405"),
+        ("PUT", "/-/runners/%ff/disable", "400"),
+        ("GET", "/-/nothing", "404"),
+        ("PUT", "/-/runners/s%2D0/disable", "200"),
+    ] {
+        assert_eq!(program.call(method, path).0, status, "{method} {path}");
+    }
+    let refused = program.ask("watch");
+    assert_eq!((refused.status(), refused.header("retry-after").is_some()), ("503", true));
+    figures(&[r#"svc_responses{kind="watch",result="shed"} 1"#, "svc_pool_size 1", "svc_pool_ejected 1"]);
+    assert_eq!(program.call("PUT", "/-/runners/s-0/enable").0, "200");
+    assert_eq!(program.ask("watch").status(), "200");
+    program.signal("TERM");
+    while program.call("GET", "/-/ready").0 != "503" {}
+}
+
+/// Guards against a newcomer that starts on a socket which it does not have, or takes the old one with it.
+#[rstest]
+#[case::no_number("seven", "is no number of a descriptor")]
+#[case::not_open("99", "descriptor 99 is not open")]
+#[case::no_listener("1", "descriptor 1 is no TCP socket that listens")]
+fn a_faulty_inherited_socket_is_named(#[case] number: &str, #[case] fault: &str) {
+    let (addr, _calls) = discovery(vec![]);
+    let program = Program::start(&list(1, true, &[]), addr, 1_024);
+    let mut second = Command::new(env!("CARGO_BIN_EXE_fordrelay"));
+    let second = second.args(["serve", "--config"]).arg(&program.config).env("ROUTER_INHERITED_FD", number);
+    let output = second.output().unwrap();
+    let said = String::from_utf8_lossy(&output.stderr).into_owned();
+    assert!(
+        !output.status.success() && said.contains("ROUTER_INHERITED_FD") && said.contains(fault),
+        "{said}"
+    );
+    assert_eq!(program.call("GET", "/-/ready").0, "200", "the first serves on");
+}
+
 /// A request whose body is so many chunks of this size.
 fn chunked(class: &str, chunks: usize, size: usize) -> String {
     let chunk = format!("{size:x}\r\n{}\r\n", "x".repeat(size));
