Remove a dead process's note only once the own one has been written since

Found on reading the change again: where writing fails (a full folder), the only copy of the operators' words was removed 3 s after a process had died. Checked by the program's tests; no test fills a folder.

--- a/crates/fordrelay/src/succession.rs
+++ b/crates/fordrelay/src/succession.rs
@@ -239,7 +239,9 @@
             let others_clients = if others > 0 { self.others_clients.get() } else { 0 };
             listener.bound(share.clients.saturating_sub(others_clients).max(share.clients / 4).max(1));
             // Only once the own note, written since, has all that the dead ones told.
-            if self.dead_since.get().is_some_and(|since| now > since + DEAD_KEPT) {
+            let written_since =
+                |since: &u64| now > since + DEAD_KEPT && self.written.get() > since + DEAD_KEPT / 2;
+            if self.dead_since.get().as_ref().is_some_and(written_since) {
                 self.dead_since.set(None);
                 self.folder.borrow_mut().clear();
             }
