Say yes to a ban only once it is kept for a successor

Found on reading the change again: where the note could not be written the call was answered 200, and the ban would not have survived an upgrade. It is 503 now; the ban is in force all the same. Checked by the tests that are there; none fills a folder.

--- a/crates/desk/src/lib.rs
+++ b/crates/desk/src/lib.rs
@@ -105,8 +105,8 @@
     /// Sends a message to every other dispatcher.
     fn tell(&self, message: &[u8]);
     /// Keeps what is known for whatever process comes after this one: at once where the operators have just said
-    /// something, else when it seems time.
-    fn keep(&self, state: &State, at_once: bool);
+    /// something, else when it seems time. Tells whether nothing failed.
+    fn keep(&self, state: &State, at_once: bool) -> bool;
     /// Whether there is anything to be kept.
     fn keeps(&self) -> bool;
 }
@@ -338,9 +338,9 @@
                 Effect::Tell(message) => outlets.tell(&message),
             }
         }
-        if ruled {
-            outlets.keep(&state, true);
+        // In force but not kept, it is no yes: whoever asked hears nothing from here, and is told to ask again.
+        if !ruled || outlets.keep(&state, true) {
+            answer.give(&state);
         }
-        answer.give(&state);
     }
 }
--- a/crates/fordrelay/src/lifecycle.rs
+++ b/crates/fordrelay/src/lifecycle.rs
@@ -141,10 +141,8 @@
         }
     }
 
-    fn keep(&self, state: &State, at_once: bool) {
-        if let Some(succession) = &self.succession {
-            succession.keep(state, at_once);
-        }
+    fn keep(&self, state: &State, at_once: bool) -> bool {
+        self.succession.as_ref().is_none_or(|succession| succession.keep(state, at_once))
     }
 
     fn keeps(&self) -> bool {
--- a/crates/fordrelay/src/succession.rs
+++ b/crates/fordrelay/src/succession.rs
@@ -172,12 +172,12 @@
         !self.place.get().accepts()
     }
 
-    /// Writes this process's note, if it is time for it.
-    pub fn keep(&self, state: &State, at_once: bool) {
+    /// Writes this process's note, if it is time for it. Tells whether nothing failed.
+    pub fn keep(&self, state: &State, at_once: bool) -> bool {
         let now = self.clock.now();
         let every = if self.others() > 0 { WRITE_BESIDE } else { WRITE };
         if !at_once && now < self.written.get() + every {
-            return;
+            return true;
         }
         let words =
             state.rulings().map(|(name, r)| (name.to_owned(), Word { out: r.out, at: r.at, since: r.since }));
@@ -195,10 +195,12 @@
                 known: state.known(),
             }),
         };
-        match self.folder.borrow().write(&note) {
+        let written = self.folder.borrow().write(&note);
+        match &written {
             Ok(()) => self.written.set(now),
             Err(e) => warn!("what is known can't be kept for a successor: {e}"),
         }
+        written.is_ok()
     }
 
     /// Watches the folder for as long as the program runs: takes over what others tell, and holds what all may hold
