Name the discovery that told the list in the note, so a SIGHUP move carries over

Cause: the note for a successor named the discovery of the process's start. After SIGHUP moved discovery, a newcomer configured with the new one took the note's list for a foreign one: it marked it gone, took the configuration's list, and waited 1.5 s for an answer, or served from a stale list where discovery was lost meanwhile.

Without the mend in succession.rs the lab reports that the old process never named the discovery it was moved to.

--- a/crates/discovery/src/kept.rs
+++ b/crates/discovery/src/kept.rs
@@ -2,6 +2,7 @@
 
 use settings::list::{Entry, List, State};
 use std::collections::BTreeMap;
+use std::net::SocketAddr;
 
 /// Targets that are kept; beyond them the first that are gone are forgotten.
 const MOST: usize = 4_096;
@@ -9,14 +10,16 @@
 /// The list, its changes taken in.
 #[derive(Debug, Default)]
 pub struct Kept {
+    /// The discovery that told the list last: a successor configured with another one asks anew.
+    from: Option<SocketAddr>,
     version: u64,
     entries: BTreeMap<String, Entry>,
 }
 
 impl Kept {
-    /// Takes in a whole list, or changes.
-    pub fn take(&mut self, list: &List) {
-        self.version = list.version;
+    /// Takes in a whole list, or changes, as the discovery at `from` told them.
+    pub fn take(&mut self, list: &List, from: SocketAddr) {
+        (self.version, self.from) = (list.version, Some(from));
         if list.full {
             self.entries.values_mut().for_each(|entry| entry.state = State::Gone);
         }
@@ -31,6 +34,11 @@
         });
     }
 
+    /// Where the list was told last; none before the first.
+    pub fn from(&self) -> Option<SocketAddr> {
+        self.from
+    }
+
     /// The whole list; those that are gone are named as such.
     pub fn list(&self) -> List {
         List { version: self.version, full: true, servers: self.entries.values().cloned().collect() }
@@ -53,9 +61,12 @@
             serde_json::from_str::<List>(&text).unwrap()
         };
         let mut kept = Kept::default();
-        kept.take(&list(1, true, &[("a", "ready"), ("b", "ready")]));
-        kept.take(&list(2, false, &[("b", "draining"), ("c", "ready")]));
-        kept.take(&list(3, true, &[("b", "ready")]));
+        let (first, moved) = ("127.0.0.1:1".parse().unwrap(), "127.0.0.1:2".parse().unwrap());
+        kept.take(&list(1, true, &[("a", "ready"), ("b", "ready")]), first);
+        kept.take(&list(2, false, &[("b", "draining"), ("c", "ready")]), first);
+        assert_eq!(kept.from(), Some(first));
+        kept.take(&list(3, true, &[("b", "ready")]), moved);
+        assert_eq!(kept.from(), Some(moved), "the list names the discovery that told it last");
         let states: Vec<_> = kept.list().servers.into_iter().map(|e| (e.id, e.state)).collect();
         let expected = [("a", State::Gone), ("b", State::Ready), ("c", State::Gone)];
         assert_eq!((kept.list().version, states), (3, expected.map(|(n, s)| (n.to_owned(), s)).to_vec()));
--- a/crates/discovery/src/lib.rs
+++ b/crates/discovery/src/lib.rs
@@ -51,9 +51,9 @@
 }
 
 impl Places {
-    /// The list as the reducer takes it.
-    pub fn input(&self, list: List, inherited: bool) -> Input {
-        self.kept.iter().for_each(|kept| kept.borrow_mut().take(&list));
+    /// The list as the reducer takes it; `from` is the discovery that told it, or is to be believed to have.
+    pub fn input(&self, list: List, inherited: bool, from: SocketAddr) -> Input {
+        self.kept.iter().for_each(|kept| kept.borrow_mut().take(&list, from));
         // Names that the settings don't hold are places too, and different ones: keys are shared by place.
         let place = |names: &[String], name: &str| {
             let known = names.iter().position(|n| n == name);
@@ -140,7 +140,7 @@
                     (after, whole) = (Some(list.version), false);
                     let early = desk.clock().now() - asked < WATCH_WAIT.as_micros() as Micros / 2;
                     let pause = early && !list.full && list.servers.is_empty();
-                    desk.report(places.input(list, false));
+                    desk.report(places.input(list, false, addr));
                     desk.listed();
                     if pause {
                         tokio::time::sleep(IDLE_PAUSE).await;
--- a/crates/fordrelay/src/lifecycle.rs
+++ b/crates/fordrelay/src/lifecycle.rs
@@ -227,7 +227,7 @@
     };
     // The first input makes the decisions ask for the list, also where none is known.
     let nothing = Input::Listed { kind: ListKind::Inherited, version: None, entries: vec![] };
-    desk.report(known.map_or(nothing, |known| places.input(known, true)));
+    desk.report(known.map_or(nothing, |known| places.input(known, true, config.discovery)));
     if let Some(succession) = &succession {
         succession.recalled().into_iter().for_each(|known| desk.report(known));
         desk.report(succession.words());
--- a/crates/fordrelay/src/succession.rs
+++ b/crates/fordrelay/src/succession.rs
@@ -55,6 +55,8 @@
     clients: Cell<usize>,
     others_clients: Cell<usize>,
     written: Cell<u64>,
+    /// The discovery that the note written last named.
+    named: RefCell<String>,
     /// Since when only dead others are there, and their notes are taken over.
     dead_since: Cell<Option<u64>>,
 }
@@ -107,6 +109,7 @@
             found: RefCell::new((list, words)),
             clients: Cell::new(0),
             written: Cell::new(0),
+            named: RefCell::new(config.discovery.to_string()),
             dead_since: Cell::new(None),
         }))
     }
@@ -176,7 +179,13 @@
     pub fn keep(&self, state: &State, at_once: bool) -> bool {
         let now = self.clock.now();
         let every = if self.others() > 0 { WRITE_BESIDE } else { WRITE };
-        if !at_once && now < self.written.get() + every {
+        // Since SIGHUP moved discovery the list is another one's: a successor configured with it may believe it.
+        let (list, from) = {
+            let kept = self.kept.borrow();
+            (kept.list(), kept.from().map_or_else(|| self.discovery.clone(), |at| at.to_string()))
+        };
+        let moved = *self.named.borrow() != from;
+        if !at_once && !moved && now < self.written.get() + every {
             return true;
         }
         let words =
@@ -187,8 +196,8 @@
             written: now,
             clients: self.clients.get(),
             words,
-            discovery: Some(self.discovery.clone()),
-            list: Some(self.kept.borrow().list()),
+            discovery: Some(from.clone()),
+            list: Some(list),
             known: Some(Knowledge {
                 classes: self.classes.clone(),
                 kinds: self.kinds.clone(),
@@ -197,7 +206,10 @@
         };
         let written = self.folder.borrow().write(&note);
         match &written {
-            Ok(()) => self.written.set(now),
+            Ok(()) => {
+                self.written.set(now);
+                *self.named.borrow_mut() = from;
+            }
             Err(e) => warn!("what is known can't be kept for a successor: {e}"),
         }
         written.is_ok()
--- a/crates/handover/src/note.rs
+++ b/crates/handover/src/note.rs
@@ -58,7 +58,7 @@
     /// The operators' word on targets, by name.
     #[serde(default)]
     pub words: BTreeMap<String, Word>,
-    /// Where discovery was.
+    /// Where the discovery was that told the list, which a successor believes only if it is configured with it.
     #[serde(default)]
     pub discovery: Option<String>,
     /// The list as it is held, and every target that it ever named.
--- a/crates/lab/src/fleet.rs
+++ b/crates/lab/src/fleet.rs
@@ -365,6 +365,8 @@
     version: watch::Sender<u64>,
     /// Discovery, one address for each dispatcher.
     discovery: Vec<SocketAddr>,
+    /// Discovery answers no call, at any of its addresses.
+    silent: Cell<bool>,
 }
 
 impl Fleet {
@@ -389,6 +391,7 @@
             lines: RefCell::new(lines),
             version: watch::channel(1).0,
             discovery: sockets.iter().map(TcpListener::local_addr).collect::<Result<_, _>>()?,
+            silent: Cell::new(false),
         });
         for (dispatcher, socket) in (0..).zip(sockets) {
             spawn_local(Rc::clone(&fleet).discover(dispatcher, socket));
@@ -401,6 +404,22 @@
         self.discovery.get(dispatcher as usize).copied()
     }
 
+    /// Discovery at one more address, as the operators would move it to, for this dispatcher.
+    ///
+    /// # Errors
+    /// No address could be had.
+    pub async fn another_discovery(self: &Rc<Self>, dispatcher: u32) -> std::io::Result<SocketAddr> {
+        let socket = TcpListener::bind("127.0.0.1:0").await?;
+        let addr = socket.local_addr()?;
+        spawn_local(Rc::clone(self).discover(dispatcher, socket));
+        Ok(addr)
+    }
+
+    /// Discovery is lost, or back: while it is, every call gets 503, also one that waits for news.
+    pub fn silence(&self, silent: bool) {
+        self.silent.set(silent);
+    }
+
     /// Where a dispatcher reaches the boxes.
     pub fn boxes(&self, dispatcher: u32) -> Vec<String> {
         self.boxes.iter().filter_map(|b| b.addrs.get(dispatcher as usize)).map(ToString::to_string).collect()
@@ -487,6 +506,11 @@
             let mut version = self.version.subscribe();
             let _ = tokio::time::timeout(wait, version.wait_for(|v| *v > after)).await;
         }
+        if self.silent.get() {
+            let mut lost = Response::new(Full::new(Bytes::from_static(b"lost")));
+            *lost.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
+            return Ok(lost);
+        }
         let lines = self.lines.borrow();
         let new = lines.iter().enumerate().filter(|(_, line)| after.is_none_or(|after| line.since > after));
         let addrs = self.boxes(dispatcher);
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -45,6 +45,7 @@
     seconds: u64,
     upgrades: usize,
     cuts: bool,
+    moves: bool,
     seed: u64,
     logs: PathBuf,
     json: Option<String>,
@@ -97,8 +98,11 @@
     let seconds = long("seconds").help("How long clients ask").argument::<u64>("S").fallback(30);
     let upgrades = long("upgrades").help("New versions in that time").argument::<usize>("N").fallback(4);
     let cuts = long("cuts").help("Kill processes outright, too, at moments drawn from the seed").switch();
+    let moves = long("moves")
+        .help("Move discovery by SIGHUP before each new version, and lose it meanwhile")
+        .switch();
     let seed = long("seed").help("For all that is drawn").argument::<u64>("N").fallback(1);
-    construct!(UpgradeArgs { boxes, load, seconds, upgrades, cuts, seed, logs, json })
+    construct!(UpgradeArgs { boxes, load, seconds, upgrades, cuts, moves, seed, logs, json })
 }
 
 fn swings() -> impl Parser<SwingsArgs> {
@@ -225,7 +229,8 @@
 }
 
 fn run_upgrade(args: &UpgradeArgs) -> Result<(), Failure> {
-    let UpgradeArgs { boxes, load, seconds, upgrades, cuts, seed, .. } = *args;
-    let summary = upgrade::run(&upgrade::Terms { boxes, load, seconds, upgrades, cuts, seed }, &args.logs)?;
+    let UpgradeArgs { boxes, load, seconds, upgrades, cuts, moves, seed, .. } = *args;
+    let terms = upgrade::Terms { boxes, load, seconds, upgrades, cuts, moves, seed };
+    let summary = upgrade::run(&terms, &args.logs)?;
     show(&summary, args.json.as_deref())
 }
--- a/crates/lab/src/upgrade.rs
+++ b/crates/lab/src/upgrade.rs
@@ -27,8 +27,10 @@
 const READY: Duration = Duration::from_secs(6);
 /// An old process is killed so long after it was told to stop.
 const KILL: Duration = Duration::from_millis(3_700);
-/// How often readiness is asked for.
+/// How often readiness is asked for, and the folder looked at.
 const ASK: Duration = Duration::from_millis(20);
+/// The old process must name the discovery it was moved to within this.
+const NAMED: Duration = Duration::from_secs(3);
 
 /// What is played.
 #[derive(Debug, Clone)]
@@ -43,6 +45,8 @@
     pub upgrades: usize,
     /// Processes are killed outright, too, at moments that the seed draws.
     pub cuts: bool,
+    /// Before each new version discovery is moved by SIGHUP, and lost while the newcomer starts.
+    pub moves: bool,
     /// For all that is drawn.
     pub seed: u64,
 }
@@ -59,6 +63,8 @@
     DiesReady,
     /// The old one is killed outright once the new one is ready.
     OldKilled,
+    /// Discovery was moved by SIGHUP before, and is lost while the new one starts; it takes over.
+    Moved,
 }
 
 /// One new version.
@@ -179,6 +185,13 @@
         Ok(began.elapsed())
     }
 
+    /// Tells it to read its configuration again.
+    pub async fn hang_up(&self) -> std::io::Result<()> {
+        let id = self.child.id().ok_or_else(|| std::io::Error::other("the process has ended"))?;
+        Command::new("kill").args(["-s", "HUP", &id.to_string()]).status().await?;
+        Ok(())
+    }
+
     /// Tells it to end, and kills it where it does not. Returns how long that took.
     pub async fn stop(mut self) -> std::io::Result<Duration> {
         let began = Instant::now();
@@ -215,6 +228,25 @@
     current: Process,
     /// The box that is out.
     out: Option<usize>,
+    /// What the configuration is written from.
+    scenario: Scenario,
+    addrs: Addresses,
+    seed: u64,
+}
+
+/// Whether a file in a folder below this one, where the processes keep their notes, holds this text. The
+/// configuration beside them is not looked at: it names discovery, too.
+fn noted(folder: &Path, text: &[u8], below: bool) -> bool {
+    let Ok(entries) = std::fs::read_dir(folder) else { return false };
+    entries.flatten().any(|entry| {
+        let path = entry.path();
+        match path.is_dir() {
+            true => noted(&path, text, true),
+            false => {
+                below && std::fs::read(&path).is_ok_and(|bytes| bytes.windows(text.len()).any(|w| w == text))
+            }
+        }
+    })
 }
 
 impl Play {
@@ -236,6 +268,27 @@
         Ok(())
     }
 
+    /// Moves discovery by SIGHUP, waits until the old process tells its successor of the list from there, and
+    /// loses discovery.
+    async fn move_discovery(&mut self) -> std::io::Result<()> {
+        let moved = self.fleet.another_discovery(0).await?;
+        self.addrs.discovery = moved.to_string();
+        std::fs::write(&self.platform.config, self.scenario.config(0, &self.addrs, self.seed))?;
+        self.current.hang_up().await?;
+        let named = format!("\"discovery\":\"{moved}\"");
+        let began = Instant::now();
+        while !noted(&self.platform.folder, named.as_bytes(), false) {
+            if began.elapsed() > NAMED {
+                return Err(std::io::Error::other(
+                    "the old process never named the discovery it was moved to",
+                ));
+            }
+            tokio::time::sleep(ASK).await;
+        }
+        self.fleet.silence(true);
+        Ok(())
+    }
+
     fn start(&mut self) -> std::io::Result<Process> {
         self.started += 1;
         self.platform.start(self.started)
@@ -247,13 +300,18 @@
         self.rule(at, true, self.current.admin).await?;
         self.rule(at, true, self.current.admin).await?;
         self.fleet.suffer(at, Fault::Kill).await?;
+        if way == Way::Moved {
+            self.move_discovery().await?;
+        }
         let mut new = self.start()?;
         if way == Way::DiesEarly {
             tokio::time::sleep(Duration::from_millis(self.rng.random_range(0..60))).await;
             new.child.kill().await?;
             new = self.start()?;
         }
-        let ready = new.ready().await?;
+        let ready = new.ready().await;
+        self.fleet.silence(false);
+        let ready = ready?;
         self.fleet.suffer(at, Fault::Start).await?;
         let ended = match way {
             Way::DiesReady => {
@@ -265,7 +323,7 @@
                 std::mem::replace(&mut self.current, new).child.kill().await?;
                 None
             }
-            Way::TakesOver | Way::DiesEarly => {
+            Way::TakesOver | Way::DiesEarly | Way::Moved => {
                 // While both live, a word to either holds at both.
                 let other = (at + 1) % boxes;
                 self.rule(at, false, new.admin).await?;
@@ -302,7 +360,19 @@
     let current = platform.start(0)?;
     current.ready().await?;
     let rng = Pcg64Mcg::seed_from_u64(terms.seed);
-    let mut play = Play { world: Rc::clone(&world), fleet, platform, rng, started: 0, current, out: None };
+    let (world_, seed) = (Rc::clone(&world), terms.seed);
+    let mut play = Play {
+        world: world_,
+        fleet,
+        platform,
+        rng,
+        started: 0,
+        current,
+        out: None,
+        scenario: scenario.clone(),
+        addrs,
+        seed,
+    };
     let began = world.now();
     let mut arrivals = scenario.arrivals(terms.seed);
     arrivals.iter_mut().for_each(|a| a.at += began);
@@ -318,7 +388,10 @@
     for number in 1..=terms.upgrades as Micros {
         tokio::time::sleep_until(world.at(began + number * every)).await;
         let ways = [Way::TakesOver, Way::DiesEarly, Way::DiesReady, Way::OldKilled];
-        let way = ways[if terms.cuts { play.rng.random_range(0..ways.len()) } else { 0 }];
+        let way = match ways[if terms.cuts { play.rng.random_range(0..ways.len()) } else { 0 }] {
+            Way::TakesOver if terms.moves => Way::Moved,
+            way => way,
+        };
         steps.push(play.step(way, scenario.boxes.len()).await?);
     }
     let _ = playing.await;
--- a/crates/lab/tests/upgrade.rs
+++ b/crates/lab/tests/upgrade.rs
@@ -5,11 +5,15 @@
 use std::process::Command;
 
 fn play(seed: u64, upgrades: u32, cuts: bool) -> Summary {
+    play_with(seed, upgrades, cuts.then_some("--cuts"))
+}
+
+fn play_with(seed: u64, upgrades: u32, way: Option<&str>) -> Summary {
     let logs = std::env::temp_dir().join(format!("fordrelay-upgrade-{}-{seed}", std::process::id()));
     let mut command = Command::new(env!("CARGO_BIN_EXE_fordrelay-lab"));
     command.args(["upgrade", "--boxes", "4", "--load", "0.25", "--seconds", "7", "--json", "-"]);
     command.args(["--upgrades", &upgrades.to_string(), "--seed", &seed.to_string()]);
-    command.arg("--logs").arg(&logs).args(cuts.then_some("--cuts"));
+    command.arg("--logs").arg(&logs).args(way);
     let output = command.output().expect("the lab runs");
     let text = String::from_utf8_lossy(&output.stdout).into_owned();
     assert!(output.status.success(), "{}", String::from_utf8_lossy(&output.stderr));
@@ -38,3 +42,12 @@
     assert_eq!(summary.steps.len(), 3, "{summary}");
     assert!(summary.served * 10 > summary.jobs * 7, "{summary}");
 }
+
+/// Discovery moved by SIGHUP and then lost: the old process tells the newcomer of the list from where it was moved to,
+/// so that the newcomer, configured with that discovery, believes it and is ready at once, discovery or not.
+#[test]
+fn a_newcomer_believes_the_list_of_a_discovery_moved_by_sighup_and_then_lost() {
+    let summary = play_with(3, 2, Some("--moves"));
+    assert_eq!((summary.lost, summary.steps.len()), (0, 2), "{summary}");
+    assert!(summary.steps.iter().all(|s| s.way == Way::Moved && s.ready_ms < 1_000), "{summary}");
+}
