Begin crate membership with its datagram: 12 bytes of header, 40 changes in 256

This is its first whole step: the layout, written and read without I/O; the state machine of SWIM with Lifeguard comes next. Nothing uses it yet, and run is unchanged.

Change: Message (ping, ack, ping-req; sender, incarnation, sequence, member asked about) and changes of the view at 6 bytes each (member, incarnation below 2^24, alive, suspect or dead). Faults name the field: short, long, version, kind, a change's state or incarnation, too many.

--- /dev/null
+++ b/crates/membership/src/wire.rs
@@ -0,0 +1,170 @@
+//! The datagram: a header of 12 bytes, then changes of the view at 6 bytes each, 256 bytes in all at most, as the
+//! peers' datagrams of the platform are. All numbers are big-endian.
+//!
+//! | bytes | field |
+//! | --- | --- |
+//! | 1 | `version` (1) |
+//! | 1 | `kind`: 1 ping, 2 ack, 3 ping-req |
+//! | 2 | `from`: the sender's number in `peers` |
+//! | 4 | `incarnation` of the sender |
+//! | 2 | `sequence`, which an ack repeats |
+//! | 2 | `about`: for a ping-req the member to be pinged, else 0 |
+//! | 6 each | a change: member (2), incarnation (3, below 2^24), state (1: 0 alive, 1 suspect, 2 dead) |
+
+/// The version of this layout.
+const VERSION: u8 = 1;
+/// The header's bytes.
+const HEADER: usize = 12;
+/// A change's bytes.
+const CHANGE: usize = 6;
+/// A datagram's bytes at most.
+pub const LARGEST: usize = 256;
+/// Changes that fit in one datagram.
+pub const MOST_CHANGES: usize = (LARGEST - HEADER) / CHANGE;
+/// Incarnations of a change are below this.
+const INCARNATIONS: u32 = 1 << 24;
+
+/// What a datagram asks.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Kind {
+    /// Are you there?
+    Ping,
+    /// Yes, to the ping of this sequence.
+    Ack,
+    /// Ping that member for me.
+    PingReq,
+}
+
+/// What a member is believed to be.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum State {
+    /// It answers.
+    Alive,
+    /// It did not answer, and others are asked to confirm.
+    Suspect,
+    /// It is taken for dead until it comes back with a higher incarnation.
+    Dead,
+}
+
+/// One change of the view.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Change {
+    /// The member's number in `peers`.
+    pub member: u16,
+    /// Its incarnation, below 2^24.
+    pub incarnation: u32,
+    /// What it is believed to be.
+    pub state: State,
+}
+
+/// One datagram.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Message {
+    /// What it asks.
+    pub kind: Kind,
+    /// Who sends it.
+    pub from: u16,
+    /// The sender's incarnation.
+    pub incarnation: u32,
+    /// The sequence of the ping that it is, or answers.
+    pub sequence: u16,
+    /// For a ping-req, the member to be pinged; else 0.
+    pub about: u16,
+    /// Changes of the view, newest first; at most [`MOST_CHANGES`].
+    pub changes: Vec<Change>,
+}
+
+/// Why a datagram can't be read or written; the field is named.
+#[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
+pub enum WireError {
+    /// Fewer bytes than a header, or a change cut short.
+    #[error("a datagram of {0} bytes is cut short: a header has 12 and a change 6")]
+    Short(usize),
+    /// More than a datagram may hold.
+    #[error("a datagram of {0} bytes is longer than 256")]
+    Long(usize),
+    /// Another layout.
+    #[error("field version: {0} is not 1")]
+    Version(u8),
+    /// No such kind.
+    #[error("field kind: {0} is none of 1, 2, 3")]
+    Kind(u8),
+    /// No such state, in the change of this position.
+    #[error("field state of change {0}: {1} is none of 0, 1, 2")]
+    State(usize, u8),
+    /// An incarnation that three bytes can't hold, in the change of this position.
+    #[error("field incarnation of change {0}: {1} is not below 2^24")]
+    Incarnation(usize, u32),
+    /// More changes than fit.
+    #[error("{0} changes are more than the 40 that fit")]
+    Changes(usize),
+}
+
+impl Message {
+    /// The bytes of it.
+    ///
+    /// # Errors
+    /// More changes than fit, or an incarnation of a change that three bytes can't hold.
+    pub fn encode(&self) -> Result<Vec<u8>, WireError> {
+        if self.changes.len() > MOST_CHANGES {
+            return Err(WireError::Changes(self.changes.len()));
+        }
+        let mut bytes = Vec::with_capacity(HEADER + CHANGE * self.changes.len());
+        let kind = match self.kind {
+            Kind::Ping => 1,
+            Kind::Ack => 2,
+            Kind::PingReq => 3,
+        };
+        bytes.extend([VERSION, kind]);
+        bytes.extend(self.from.to_be_bytes());
+        bytes.extend(self.incarnation.to_be_bytes());
+        bytes.extend(self.sequence.to_be_bytes());
+        bytes.extend(self.about.to_be_bytes());
+        for (at, change) in self.changes.iter().enumerate() {
+            if change.incarnation >= INCARNATIONS {
+                return Err(WireError::Incarnation(at, change.incarnation));
+            }
+            bytes.extend(change.member.to_be_bytes());
+            bytes.extend(&change.incarnation.to_be_bytes()[1..]);
+            bytes.push(change.state as u8);
+        }
+        Ok(bytes)
+    }
+
+    /// Reads a datagram as it came.
+    ///
+    /// # Errors
+    /// Its length, version, kind or a change's state is not as the layout says.
+    pub fn decode(bytes: &[u8]) -> Result<Self, WireError> {
+        if bytes.len() > LARGEST {
+            return Err(WireError::Long(bytes.len()));
+        }
+        let (header, rest) = bytes.split_first_chunk::<HEADER>().ok_or(WireError::Short(bytes.len()))?;
+        if rest.len() % CHANGE != 0 {
+            return Err(WireError::Short(bytes.len()));
+        }
+        if header[0] != VERSION {
+            return Err(WireError::Version(header[0]));
+        }
+        let kind = match header[1] {
+            1 => Kind::Ping,
+            2 => Kind::Ack,
+            3 => Kind::PingReq,
+            other => return Err(WireError::Kind(other)),
+        };
+        let two = |at: usize| u16::from_be_bytes([header[at], header[at + 1]]);
+        let incarnation = u32::from_be_bytes([header[4], header[5], header[6], header[7]]);
+        let change = |(at, c): (usize, &[u8])| {
+            let state = match c[5] {
+                0 => State::Alive,
+                1 => State::Suspect,
+                2 => State::Dead,
+                other => return Err(WireError::State(at, other)),
+            };
+            let member = u16::from_be_bytes([c[0], c[1]]);
+            Ok(Change { member, incarnation: u32::from_be_bytes([0, c[2], c[3], c[4]]), state })
+        };
+        let changes = rest.chunks_exact(CHANGE).enumerate().map(change).collect::<Result<_, _>>()?;
+        Ok(Message { kind, from: two(2), incarnation, sequence: two(8), about: two(10), changes })
+    }
+}
--- /dev/null
+++ b/crates/membership/tests/wire.rs
@@ -0,0 +1,59 @@
+//! The datagram: what is written is read back, anything that comes is read or refused by name, never a panic.
+
+use membership::{Change, Kind, Message, State, WireError, LARGEST, MOST_CHANGES};
+use proptest::prelude::*;
+
+fn change() -> impl Strategy<Value = Change> {
+    let state = prop_oneof![Just(State::Alive), Just(State::Suspect), Just(State::Dead)];
+    (any::<u16>(), 0..1u32 << 24, state).prop_map(|(member, incarnation, state)| Change {
+        member,
+        incarnation,
+        state,
+    })
+}
+
+fn message() -> impl Strategy<Value = Message> {
+    let kind = prop_oneof![Just(Kind::Ping), Just(Kind::Ack), Just(Kind::PingReq)];
+    let changes = proptest::collection::vec(change(), 0..=MOST_CHANGES);
+    (kind, any::<u16>(), any::<u32>(), any::<u16>(), any::<u16>(), changes).prop_map(
+        |(kind, from, incarnation, sequence, about, changes)| Message {
+            kind,
+            from,
+            incarnation,
+            sequence,
+            about,
+            changes,
+        },
+    )
+}
+
+proptest! {
+    #[test]
+    fn what_is_written_is_read_back_within_a_datagram(message in message()) {
+        let bytes = message.encode().unwrap();
+        prop_assert!(bytes.len() <= LARGEST);
+        prop_assert_eq!(Message::decode(&bytes).unwrap(), message);
+    }
+
+    #[test]
+    fn any_bytes_are_read_or_refused(bytes in proptest::collection::vec(any::<u8>(), 0..300)) {
+        if let Ok(message) = Message::decode(&bytes) {
+            prop_assert_eq!(message.encode().unwrap(), bytes);
+        }
+    }
+}
+
+#[test]
+fn faults_are_named() {
+    let ping = Message { kind: Kind::Ping, from: 1, incarnation: 2, sequence: 3, about: 0, changes: vec![] };
+    let mut bytes = ping.encode().unwrap();
+    assert_eq!(Message::decode(&bytes[..11]), Err(WireError::Short(11)));
+    bytes[1] = 9;
+    assert_eq!(Message::decode(&bytes), Err(WireError::Kind(9)));
+    let dead = Change { member: 4, incarnation: 1 << 24, state: State::Dead };
+    let too_old = Message { changes: vec![dead], ..ping.clone() };
+    assert_eq!(too_old.encode(), Err(WireError::Incarnation(0, 1 << 24)));
+    let many = Message { changes: vec![Change { incarnation: 0, ..dead }; MOST_CHANGES + 1], ..ping };
+    assert_eq!(many.encode(), Err(WireError::Changes(MOST_CHANGES + 1)));
+    assert_eq!(Message::decode(&[1; 257]), Err(WireError::Long(257)));
+}
