--- a/crates/admin/src/client.rs
+++ b/crates/admin/src/client.rs
@@ -28,9 +28,16 @@
     /// No answer, or none that can be read.
     #[error("{0} gave no answer: {1}")]
     Broken(SocketAddr, String),
-    /// It says no.
-    #[error("{0}")]
-    Refused(String),
+    /// It says no, with this status.
+    #[error("{1}")]
+    Refused(StatusCode, String),
+}
+
+impl ClientError {
+    /// A no for now (503): the loop was behind, or the word is not yet kept for a successor; the call may be made again.
+    pub fn for_now(&self) -> bool {
+        matches!(self, ClientError::Refused(StatusCode::SERVICE_UNAVAILABLE, _))
+    }
 }
 
 /// Asks, and returns the text of the answer.
@@ -66,6 +73,6 @@
         Err(e) => Err(broken(&e)),
         Ok(Err(e)) => Err(e),
         Ok(Ok((StatusCode::OK, text))) => Ok(text),
-        Ok(Ok((_, text))) => Err(ClientError::Refused(text.trim_end().to_owned())),
+        Ok(Ok((status, text))) => Err(ClientError::Refused(status, text.trim_end().to_owned())),
     }
 }
--- a/crates/lab/src/upgrade.rs
+++ b/crates/lab/src/upgrade.rs
@@ -187,18 +187,23 @@
         Ok(began.elapsed())
     }
 
-    /// Tells it to read its configuration again.
-    pub async fn hang_up(&self) -> std::io::Result<()> {
+    /// Sends it a signal by name, as `kill -s` takes it.
+    async fn signal(&self, name: &str) -> std::io::Result<()> {
         let id = self.child.id().ok_or_else(|| std::io::Error::other("the process has ended"))?;
-        Command::new("kill").args(["-s", "HUP", &id.to_string()]).status().await?;
+        Command::new("kill").args(["-s", name, &id.to_string()]).status().await?;
         Ok(())
     }
 
+    /// Tells it to read its configuration again.
+    pub async fn hang_up(&self) -> std::io::Result<()> {
+        self.signal("HUP").await
+    }
+
     /// Tells it to end, and kills it where it does not. Returns how long that took.
     pub async fn stop(mut self) -> std::io::Result<Duration> {
         let began = Instant::now();
-        if let Some(id) = self.child.id() {
-            Command::new("kill").args(["-s", "TERM", &id.to_string()]).status().await?;
+        if self.child.id().is_some() {
+            self.signal("TERM").await?;
         }
         match tokio::time::timeout(KILL, self.child.wait()).await {
             Ok(status) => {
@@ -263,7 +268,7 @@
         let mut calls = 0;
         while let Err(e) = admin::ask(process, Method::PUT, &path).await {
             calls += 1;
-            if calls == CALLS {
+            if !e.for_now() || calls == CALLS {
                 return Err(std::io::Error::other(e));
             }
             tokio::time::sleep(ASK * 5).await;
