Open a silent watch anew within the clock, and watch the agent where lists are pushed

`roster::Pace::pause` spread the call after any failure over all dispatchers (twice 60 ms each, up to 20 s at 300): meant for an outage that all see. A watch that fell silent is one dispatcher's own, and what it misses counts as told 6 s later. Ruled out: loss of the word itself (the list is read where a call is made), the rule on `up` (targets are looked up again when a connection is up).

A call that falls silent is told apart from one that fails (`CallLost`, through discovery, reducer, decisions), and the first after an answer is spread over at most what the clock leaves (1.75 s). A watch waits 1 s instead of 2.5, its answer 0.75 s, a first call 2 s more for its turn: before, one in a long queue was given up while it waited. Also found: where lists are pushed nobody asked for them at all on sockets. The agent is now watched from the start, before the first client, and every 100 ms while it is out.

--- a/crates/api/src/lib.rs
+++ b/crates/api/src/lib.rs
@@ -101,6 +101,16 @@
     },
 }
 
+/// How a call to discovery, or a watch there, was lost.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum CallLost {
+    /// No answer came in time, and no word either that discovery is down or has too many callers: the way there is broken,
+    /// and nobody else's need be.
+    Silent,
+    /// Anything else: it was refused, or broke off, which others may see at the same time.
+    Failed,
+}
+
 /// Where load reports come from.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Reports {
@@ -423,7 +433,7 @@
         entries: Vec<Listing>,
     },
     /// The subscription to the list failed or broke.
-    ListFailed,
+    ListFailed(CallLost),
     /// A job was taken.
     Job(JobSpec),
     /// Nobody waits for the job any more.
--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -331,12 +331,12 @@
     pub fn handle(&mut self, now: Micros, event: Event, out: &mut Vec<Action>) {
         self.now = self.now.max(now);
         if self.clock.ask.as_ref().is_some_and(Pace::unasked) {
-            self.ask();
+            self.ask(CallLost::Failed);
         }
         let news = event.worker();
         match event {
             Event::Listed { kind, entries } => self.on_listed(kind, &entries, out),
-            Event::ListFailed => self.ask(),
+            Event::ListFailed(lost) => self.ask(lost),
             Event::Job(spec) => self.on_job(spec, out),
             Event::ClientGone(job) => self.close(job, false, out),
             Event::Started { job, attempt, worker } | Event::Progress { job, attempt, worker, .. } => {
@@ -407,9 +407,9 @@
     }
 
     /// Asks discovery after a pause: none is in another's way there.
-    fn ask(&mut self) {
+    fn ask(&mut self, lost: CallLost) {
         let Some(ask) = self.clock.ask.as_mut() else { return };
-        let pause = ask.pause(unit(&mut self.rng), unit(&mut self.rng));
+        let pause = ask.pause(lost, unit(&mut self.rng), unit(&mut self.rng));
         self.clock.timers.push(Reverse((self.now + pause, Timer::Rewatch)));
     }
 
--- a/crates/decide/tests/rules.rs
+++ b/crates/decide/tests/rules.rs
@@ -95,7 +95,7 @@
         Rig { d: decide::Dispatcher::new(s, 1).unwrap(), now: START, expires_in: 0, work: None, key: None };
     assert_eq!(watches(&rig.list(ListKind::Inherited, vec![listing(0)])), 1);
     for _ in 0..20 {
-        assert_eq!(watches(&rig.event(Event::ListFailed)), 0, "paced");
+        assert_eq!(watches(&rig.event(Event::ListFailed(CallLost::Failed))), 0, "paced");
         let failed = rig.now;
         let mut asked = 0;
         while asked == 0 {
@@ -575,7 +575,7 @@
                 check.see(rig.now, &actions);
             }
             Step::ListFailed => {
-                let actions = rig.event(Event::ListFailed);
+                let actions = rig.event(Event::ListFailed(CallLost::Failed));
                 check.see(rig.now, &actions);
             }
             Step::Gone(which) => {
--- a/crates/discovery/src/lib.rs
+++ b/crates/discovery/src/lib.rs
@@ -6,7 +6,7 @@
 pub use kept::Kept;
 
 use api::told;
-use api::{ListKind, Micros, Status};
+use api::{CallLost, ListKind, Micros, Status};
 use bytes::Bytes;
 use desk::{Clock, Desk, Seldom};
 use http_body_util::{BodyExt, Empty, Limited};
@@ -26,10 +26,15 @@
 use tokio::time::timeout;
 use tracing::{debug, warn};
 
-/// How long a watch asks discovery to wait. A discovery that falls silent is noticed only after that.
-const WATCH_WAIT: Duration = Duration::from_millis(2_500);
-/// How long an answer may take beyond that.
-const ANSWER_WAIT: Duration = Duration::from_millis(1_000);
+/// How long a watch asks discovery to wait, see [`roster`].
+const WATCH_WAIT: Duration = Duration::from_micros(roster::WATCH_WAIT);
+/// How long an answer may take beyond that ...
+const ANSWER_WAIT: Duration = Duration::from_micros(roster::ANSWER_WAIT);
+/// ... and a call that has to wait for its turn first.
+const TURN_WAIT: Duration = Duration::from_micros(roster::CALL_WAITS);
+/// Where lists are pushed, the agent on this machine has nobody else to answer: how soon it is asked again. What it hears
+/// after an outage counts at once.
+const AGENT_PAUSE: Duration = Duration::from_millis(100);
 /// ... and beyond that again, for what lies in the socket: a process that was stopped finds its time up before it has read
 /// what it was told meanwhile.
 const UNREAD_WAIT: Duration = Duration::from_millis(50);
@@ -107,26 +112,32 @@
 }
 
 /// Watches the list each time that it is told to, until a call fails; also, and at once, when discovery has
-/// moved. What it is not asked at its old address any more closes with the link there, also amid a call.
+/// moved. What it is not asked at its old address any more closes with the link there, also amid a call. Where lists are
+/// `pushed`, nobody tells it to: it watches from the start, and again after each failure.
 pub async fn watch(
     mut at: watch::Receiver<SocketAddr>,
     places: Places,
     desk: Rc<Desk>,
     mut wanted: mpsc::UnboundedReceiver<Option<u64>>,
+    pushed: bool,
 ) {
     let (mut link, mut seldom) = (None, Seldom::default());
     let (mut lists, mut said) = (odd::Lists::default(), BTreeMap::new());
     // Another discovery may count its versions in another way: the whole list is asked for first.
-    let mut whole = false;
+    let mut whole = pushed;
+    let mut pause = Duration::ZERO;
     loop {
         let mut after = tokio::select! {
             biased;
             () = moved(&mut at) => { (link, whole) = (None, true); None }
+            () = tokio::time::sleep(pause), if pushed => None,
             after = wanted.recv() => match after {
                 Some(after) => after.filter(|_| !whole),
                 None => return,
             },
         };
+        // Whether this watch has been answered before: one that goes on waits for no turn.
+        let mut going = false;
         loop {
             let addr = *at.borrow_and_update();
             debug!(%addr, ?after, "watching the list");
@@ -134,10 +145,10 @@
             let answer = tokio::select! {
                 biased;
                 () = moved(&mut at) => {
-                    (link, whole, after) = (None, true, None);
+                    (link, whole, after, going) = (None, true, None, false);
                     continue;
                 }
-                answer = call(addr, after, &mut link) => answer,
+                answer = call(addr, after, going, &mut link) => answer,
             };
             match answer {
                 Ok(list) => {
@@ -146,12 +157,12 @@
                         lists.moved();
                     }
                     say(&desk, &mut said, lists.look(&list, &places));
-                    (after, whole) = (Some(list.version), false);
+                    (after, whole, going) = (Some(list.version), false, true);
                     let early = desk.clock().now() - asked < WATCH_WAIT.as_micros() as Micros / 2;
-                    let pause = early && !list.full && list.servers.is_empty();
+                    let idle = early && !list.full && list.servers.is_empty();
                     desk.report(places.input(list, false, addr));
                     desk.listed();
-                    if pause {
+                    if idle {
                         tokio::time::sleep(IDLE_PAUSE).await;
                     }
                 }
@@ -162,7 +173,9 @@
                     }
                     // Only one watch at a time: what was asked for amid this one is answered by its failure.
                     while wanted.try_recv().is_ok() {}
-                    desk.report(Input::ListFailed);
+                    let silent = matches!(e, CallError::Silent(_));
+                    desk.report(Input::ListFailed(if silent { CallLost::Silent } else { CallLost::Failed }));
+                    pause = AGENT_PAUSE;
                     break;
                 }
             }
@@ -193,11 +206,17 @@
     _conn: JoinSet<()>,
 }
 
-async fn call(addr: SocketAddr, after: Option<u64>, kept: &mut Option<Link>) -> Result<List, CallError> {
+async fn call(
+    addr: SocketAddr,
+    after: Option<u64>,
+    going: bool,
+    kept: &mut Option<Link>,
+) -> Result<List, CallError> {
     let mut link = match kept.take() {
         Some(link) if !link.sender.is_closed() => link,
         _ => {
-            let stream = timeout(CONNECT_WAIT, TcpStream::connect(addr)).await??;
+            let late = |_| std::io::Error::from(std::io::ErrorKind::TimedOut);
+            let stream = timeout(CONNECT_WAIT, TcpStream::connect(addr)).await.map_err(late)??;
             stream.set_nodelay(true)?;
             let (sender, conn) = http1::handshake(TokioIo::new(stream)).await?;
             let mut task = JoinSet::new();
@@ -210,8 +229,9 @@
             let wait = WATCH_WAIT.as_millis();
             (format!("/v1/endpoints?index={version}&wait={wait}"), WATCH_WAIT + ANSWER_WAIT)
         }
-        None => ("/v1/endpoints".to_owned(), ANSWER_WAIT + ANSWER_WAIT),
+        None => ("/v1/endpoints".to_owned(), ANSWER_WAIT),
     };
+    let wait = if going { wait } else { wait + TURN_WAIT };
     let request = Request::builder().uri(path).header("host", addr.to_string()).body(Empty::new())?;
     let (status, body) = {
         let mut answer = std::pin::pin!(async {
--- a/crates/fordrelay/src/lifecycle.rs
+++ b/crates/fordrelay/src/lifecycle.rs
@@ -39,6 +39,8 @@
 /// How long a newcomer waits for the clients' port while another process of this dispatcher lives: one that was told to
 /// stop has given it up after [`GRACE`].
 const PORT_WAIT: Duration = Duration::from_secs(10);
+/// How long a start waits for what the agent has, where lists are pushed: as long as its first answer may take.
+const AGENT_WAIT: Duration = Duration::from_millis(2_750);
 /// How often it is looked whether everything is answered, or the clients' port is free.
 const LOOK: Duration = Duration::from_millis(10);
 
@@ -300,7 +302,8 @@
     }
     let (watches, wanted) = mpsc::unbounded_channel();
     let (discovery_at, discovery) = watch::channel(config.discovery);
-    spawn_local(discovery::watch(discovery, places, Rc::clone(&desk), wanted));
+    let pushed = config.settings.discovery == api::Discovery::Pushed;
+    spawn_local(discovery::watch(discovery, places, Rc::clone(&desk), wanted, pushed));
     spawn_local(reload(hangup, files.clone(), logs, Rc::clone(&desk), classes.clone(), discovery_at));
     spawn_local(usage::watch(Rc::clone(&desk), limits));
     if let Some(metrics) = metrics {
@@ -366,6 +369,19 @@
             return stopped_early();
         }
     }
+    if pushed {
+        // What the agent has counts from the first moment; one that is lost itself has nothing.
+        let heard = async {
+            while !desk.has_list() {
+                tokio::time::sleep(LOOK).await;
+            }
+        };
+        tokio::select! {
+            biased;
+            () = &mut stopping => return stopped_early(),
+            _ = tokio::time::timeout(AGENT_WAIT, heard) => {}
+        }
+    }
     let accepting = spawn_local(Rc::clone(&listener).accept(socket));
     spawn_local(Rc::clone(&listener).sweep());
     desk.ready(true);
--- a/crates/lab/src/model.rs
+++ b/crates/lab/src/model.rs
@@ -3,14 +3,15 @@
 
 use crate::checker::{Checker, ClassScore, Reply};
 use crate::engine::{Engine, Health, Task, Word};
-use crate::registry::{Asked, Called, Registry, Service, NEWS_WAIT, WATCH};
+use crate::registry::{Asked, Called, Registry, Service};
 use crate::scenario::{name, Addresses, Arrival, Fault, Scenario, SECOND};
-use api::{JobId, JobSpec, ListKind, LoadReport, Micros, Outcome, Status};
+use api::{CallLost, JobId, JobSpec, ListKind, LoadReport, Micros, Outcome, Status};
 use bytes::Bytes;
 use levels::{Readings, Spec};
 use rand::Rng;
 use rand_pcg::rand_core::SeedableRng;
 use rand_pcg::Pcg64Mcg;
+use roster::{ANSWER_WAIT, WATCH_WAIT};
 use settings::platform::{Config, ConfigError};
 use state::{reduce, Answer, ConnId, Effect, Input, Listed, Setup, State};
 use std::cmp::Reverse;
@@ -502,10 +503,13 @@
     }
 
     fn call(&mut self, dispatcher: usize, after: Option<u64>) {
-        match self.registry.call(self.now, after) {
+        match self.registry.call(self.now) {
             Called::Answered(at) => self.later(at + self.scenario.travel.1, Due::News { dispatcher, after }),
             Called::Fails(at) => {
-                self.later(at + self.scenario.travel.1, Due::Report { dispatcher, input: Input::ListFailed });
+                self.later(
+                    at + self.scenario.travel.1,
+                    Due::Report { dispatcher, input: Input::ListFailed(CallLost::Failed) },
+                );
             }
         }
     }
@@ -517,7 +521,7 @@
         self.next_watch += 1;
         let (number, told) = (self.next_watch, self.registry.version());
         self.dispatchers[dispatcher].watch = Some(Watch { number, told });
-        self.later(self.now + WATCH, Due::Waited { dispatcher, watch: number });
+        self.later(self.now + WATCH_WAIT, Due::Waited { dispatcher, watch: number });
         if !std::mem::replace(&mut self.dispatchers[dispatcher].told, true) {
             let stale_for = self.now - self.dispatchers[dispatcher].started;
             self.sums.stale_for = self.sums.stale_for.max(stale_for);
@@ -538,11 +542,11 @@
             Service::Up => self.news(dispatcher, Some(kept.told)),
             Service::Refuses | Service::Silent => {
                 self.dispatchers[dispatcher].watch = None;
-                let at = match self.registry.service() {
-                    Service::Silent => self.now + NEWS_WAIT - WATCH,
-                    _ => self.now,
+                let (at, lost) = match self.registry.service() {
+                    Service::Silent => (self.now + ANSWER_WAIT, CallLost::Silent),
+                    _ => (self.now, CallLost::Failed),
                 };
-                self.later(at, Due::Report { dispatcher, input: Input::ListFailed });
+                self.later(at, Due::Report { dispatcher, input: Input::ListFailed(lost) });
             }
         }
     }
--- a/crates/lab/src/registry.rs
+++ b/crates/lab/src/registry.rs
@@ -2,15 +2,9 @@
 //! stopped waiting takes its turn all the same; a watch that is kept up takes none. No I/O, clock or randomness.
 
 use api::Micros;
+use roster::{ANSWER_WAIT, CALL_WAITS};
 use std::collections::BTreeMap;
 
-/// How long a caller waits for the whole list ...
-pub const WHOLE_WAIT: Micros = 2_000_000;
-/// ... and for news, as the client of discovery does.
-pub const NEWS_WAIT: Micros = 3_500_000;
-/// A watch is answered after this, news or not.
-pub const WATCH: Micros = 2_500_000;
-
 /// How discovery is.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Service {
@@ -97,11 +91,11 @@
         }
     }
 
-    /// A call that starts a watch after this version, or asks for the whole list, arrives.
-    pub fn call(&mut self, now: Micros, after: Option<u64>) -> Called {
+    /// A call that starts a watch, or asks for the whole list, arrives.
+    pub fn call(&mut self, now: Micros) -> Called {
         self.asked.calls += 1;
         *self.asked.by_second.entry(now / 1_000_000).or_default() += 1;
-        let wait = if after.is_some() { NEWS_WAIT } else { WHOLE_WAIT };
+        let wait = CALL_WAITS + ANSWER_WAIT;
         let called = match self.service {
             Service::Refuses => Called::Fails(now + 1),
             Service::Silent => Called::Fails(now + wait),
@@ -133,16 +127,16 @@
     #[test]
     fn calls_take_turns_also_those_that_are_given_up() {
         let mut registry = Registry::new(2, 50_000);
-        let answered = (0..100).filter(|_| matches!(registry.call(0, None), Called::Answered(_))).count();
-        assert_eq!(answered, 40, "as many as fit into the time that a caller waits");
+        let answered = (0..100).filter(|_| matches!(registry.call(0), Called::Answered(_))).count();
+        assert_eq!(answered, 55, "as many as fit into the time that a caller waits");
         assert_eq!(
-            registry.call(3_000_000, None),
-            Called::Fails(5_000_000),
+            registry.call(2_200_000),
+            Called::Fails(2_200_000 + CALL_WAITS + ANSWER_WAIT),
             "the given up ones are still in the way"
         );
         assert_eq!(
             (registry.asked.calls, registry.asked.failed, registry.asked.worst_second()),
-            (101, 61, 100)
+            (101, 46, 100)
         );
         registry.changed([1]);
         assert_eq!(
--- a/crates/roster/src/lib.rs
+++ b/crates/roster/src/lib.rs
@@ -19,12 +19,25 @@
 pub use load::{held_per_core, Loads, LARGEST_WEIGHT};
 pub use reach::Reach;
 
-use api::{Discovery, Micros};
+use api::{CallLost, Discovery, Micros};
 
 /// Room that is left to each dispatcher beyond two for one call to discovery. It must be no less than a turn of
 /// discovery takes, or a start of all together fills its queue; the longer, the later a restarted dispatcher learns
 /// of what has changed.
 const TURN: Micros = 60_000;
+/// What a silent watch missed counts as told so long after it fell silent, whatever the settings say of asking.
+pub const SILENCE_TOLD: Micros = 6_000_000;
+/// How long a watch asks discovery to wait: a watch that falls silent is noticed only after that. Going on costs discovery no
+/// turn, so the shorter it is, the more of [`SILENCE_TOLD`] is left.
+pub const WATCH_WAIT: Micros = 1_000_000;
+/// How long the answer on a watch may take beyond that: no turn is waited for, so it is the network's time and that of a
+/// processor which is shared.
+pub const ANSWER_WAIT: Micros = 750_000;
+/// What a call may wait for its turn at discovery before it fails there.
+pub const CALL_WAITS: Micros = 2_000_000;
+/// The spread of the calls that follow silent watches: what the clock leaves when it was noticed and the call may still
+/// wait for its turn, less half a second for the connection, the answer and a processor that is shared.
+const SILENT_SPREAD: Micros = SILENCE_TOLD - WATCH_WAIT - ANSWER_WAIT - CALL_WAITS - 500_000;
 /// Turns that each failed call is spread over: those that failed once already were too many.
 const TURNS_AGAIN: u64 = 2;
 /// The shortest pause after a failure, as a share of the longest time that may pass unasked.
@@ -58,19 +71,29 @@
         self.failures.is_none()
     }
 
-    /// How long to wait, microseconds, before the first call or after one that failed; both draws are uniform in 0
+    /// How long to wait, microseconds, before the first call or after one that was lost; both draws are uniform in 0
     /// to 1.
     ///
     /// The first call is spread over 60 ms for each dispatcher beyond two, at most half of the time that may pass
     /// unasked. The pause after a failure doubles from one to the next, between 1/128 and 1/4 of that time; on top
     /// comes twice the spread, which is the larger part where dispatchers are many.
-    pub fn pause(&mut self, jitter: f64, drawn: f64) -> Micros {
-        let Some(failures) = self.failures.replace(self.failures.map_or(0, |f| f.saturating_add(1))) else {
-            return share(self.spread(1).min(self.ask_within / 2), drawn);
-        };
-        let doubled = (self.ask_within / SHORTEST).saturating_mul(1 << failures.min(16));
-        let jittered = share(doubled.min(self.ask_within / LONGEST), 1.0 - JITTER + 2.0 * JITTER * jitter);
-        jittered + share(self.spread(TURNS_AGAIN).min(2 * self.ask_within), drawn)
+    ///
+    /// A call that falls silent after others were answered is broken on its own: what it misses counts as told
+    /// [`SILENCE_TOLD`] later, so the next one is spread no further than that leaves. If that is lost as well, however it
+    /// is, discovery itself is in trouble, and the spread of a failure holds again.
+    pub fn pause(&mut self, lost: CallLost, jitter: f64, drawn: f64) -> Micros {
+        let before = self.failures;
+        self.failures = Some(before.map_or(0, |f| f.saturating_add(1)));
+        match (before, lost) {
+            (None, _) => share(self.spread(1).min(self.ask_within / 2), drawn),
+            (Some(0), CallLost::Silent) => share(self.spread(1).min(SILENT_SPREAD), drawn),
+            (Some(failures), _) => {
+                let doubled = (self.ask_within / SHORTEST).saturating_mul(1 << failures.min(16));
+                let jittered =
+                    share(doubled.min(self.ask_within / LONGEST), 1.0 - JITTER + 2.0 * JITTER * jitter);
+                jittered + share(self.spread(TURNS_AGAIN).min(2 * self.ask_within), drawn)
+            }
+        }
     }
 
     /// Discovery has answered.
--- a/crates/roster/tests/herd.rs
+++ b/crates/roster/tests/herd.rs
@@ -1,9 +1,9 @@
 //! A hundred dispatchers before one discovery that handles their calls in turn.
 
-use api::{Discovery, Micros};
+use api::{CallLost, Discovery, Micros};
 use rand_pcg::rand_core::{RngCore, SeedableRng};
 use rand_pcg::Pcg64Mcg;
-use roster::Pace;
+use roster::{Pace, ANSWER_WAIT, SILENCE_TOLD, WATCH_WAIT};
 use std::cmp::Reverse;
 use std::collections::{BinaryHeap, VecDeque};
 
@@ -46,16 +46,28 @@
         // They are restarted within a second.
         let call = |(n, pace): (usize, &mut Pace)| {
             let start = (unit(&mut rng) * SECOND as f64) as Micros;
-            Reverse((start + pace.pause(unit(&mut rng), unit(&mut rng)), Due::Call(n)))
+            Reverse((start + pace.pause(CallLost::Failed, unit(&mut rng), unit(&mut rng)), Due::Call(n)))
         };
         let due = paces.iter_mut().enumerate().map(call).collect();
         let (queue, calls) = Default::default();
         World { rng, paces, due, queue, told: vec![None; restarted], failed: 0, most_calls: 0, calls }
     }
 
+    /// The watches of the first so many have all been silent since a moment before the start, and are noticed together.
+    fn silent(dispatchers: u32, silent: usize, seed: u64) -> Self {
+        let mut world = World::new(dispatchers, silent, seed);
+        world.due.clear();
+        for n in 0..silent {
+            world.paces[n].heard();
+            let pause = world.paces[n].pause(CallLost::Silent, unit(&mut world.rng), unit(&mut world.rng));
+            world.due.push(Reverse((WATCH_WAIT + ANSWER_WAIT + pause, Due::Call(n))));
+        }
+        world
+    }
+
     fn fails(&mut self, at: Micros, n: usize) {
         self.failed += 1;
-        let pause = self.paces[n].pause(unit(&mut self.rng), unit(&mut self.rng));
+        let pause = self.paces[n].pause(CallLost::Failed, unit(&mut self.rng), unit(&mut self.rng));
         self.due.push(Reverse((at + pause, Due::Call(n))));
     }
 
@@ -120,25 +132,51 @@
     }
 }
 
+/// A fifth of 300 watches fall silent at one moment, as on `join+mass`, where a turn takes 27 ms at the most: all are told
+/// within the clock. Before, each call was spread over 20 s.
+#[test]
+fn watches_that_fall_silent_together_are_all_told_within_the_clock() {
+    for seed in 0..20 {
+        let mut world = World::silent(300, 62, seed);
+        world.play(27 * MS, 0, 60 * SECOND);
+        let last = world.last_told().expect("all are told");
+        assert!(last < SILENCE_TOLD, "seed {seed}: the last one was told after {last} us");
+    }
+}
+
+/// All 300 together are more than discovery has turns for: those that it turns away leave it its room, and all are told.
+/// With discovery down meanwhile, too: a silent watch and an outage at once.
+#[test]
+fn silence_and_an_outage_together_do_not_keep_discovery_down() {
+    for (seed, up) in (0..20).flat_map(|seed| [(seed, 0), (seed, 10 * SECOND)]) {
+        let mut world = World::silent(300, 300, seed);
+        world.play(27 * MS, up, 120 * SECOND);
+        let last = world.last_told().expect("all are told");
+        assert!(last < 60 * SECOND, "seed {seed}: the last one was told after {last} us");
+        let told = world.told.iter().flatten().filter(|at| **at < SILENCE_TOLD).count();
+        assert!(up > 0 || told >= 80, "seed {seed}: {told} within the clock");
+    }
+}
+
 #[test]
 fn two_dispatchers_ask_at_once_and_again_soon() {
     let mut two = pace(2);
-    assert_eq!(two.pause(0.5, 0.9), 0, "there is no herd of two");
-    assert_eq!(two.pause(0.5, 0.9), 78_125);
-    assert_eq!(two.pause(0.5, 0.9), 156_250);
+    assert_eq!(two.pause(CallLost::Failed, 0.5, 0.9), 0, "there is no herd of two");
+    assert_eq!(two.pause(CallLost::Failed, 0.5, 0.9), 78_125);
+    assert_eq!(two.pause(CallLost::Failed, 0.5, 0.9), 156_250);
     for _ in 0..100 {
-        assert!(two.pause(1.0, 1.0) <= 3_250 * MS, "well within what the rules allow");
+        assert!(two.pause(CallLost::Failed, 1.0, 1.0) <= 3_250 * MS, "well within what the rules allow");
     }
     two.heard();
-    assert_eq!(two.pause(0.5, 0.9), 78_125, "an answer starts it over");
+    assert_eq!(two.pause(CallLost::Failed, 0.5, 0.9), 78_125, "an answer starts it over");
 }
 
 #[test]
 fn no_size_of_the_fleet_has_a_dispatcher_ask_later_than_it_must() {
     for dispatchers in [1, 2, 3, 100, 10_000, u32::MAX] {
         let mut pace = pace(dispatchers);
-        assert!(pace.pause(1.0, 1.0) <= 5 * SECOND, "{dispatchers}");
-        assert!((0..100).all(|_| pace.pause(1.0, 1.0) < 40 * SECOND), "{dispatchers}");
+        assert!(pace.pause(CallLost::Failed, 1.0, 1.0) <= 5 * SECOND, "{dispatchers}");
+        assert!((0..100).all(|_| pace.pause(CallLost::Failed, 1.0, 1.0) < 40 * SECOND), "{dispatchers}");
     }
     assert!(Pace::new(100, Discovery::Pushed).is_none(), "nobody needs to be asked");
 }
--- a/crates/simwire/src/lib.rs
+++ b/crates/simwire/src/lib.rs
@@ -341,7 +341,7 @@
                 "patch" => ListKind::Changes,
                 "whole" => ListKind::Whole,
                 "stale_copy" => ListKind::Inherited,
-                _ => return Some(Event::ListFailed),
+                _ => return Some(Event::ListFailed(CallLost::Failed)),
             };
             let entries = m.entries.iter().flatten().map(|e| Listing {
                 worker: self.number(e.worker),
--- a/crates/state/src/lib.rs
+++ b/crates/state/src/lib.rs
@@ -14,7 +14,7 @@
 pub use reducer::{reduce, Seen, State};
 pub use upkeep::{Upkeep, Wanted, WantedError};
 
-use api::{JobId, JobSpec, Known, ListKind, LoadReport, Micros, Outcome, Settings, Status};
+use api::{CallLost, JobId, JobSpec, Known, ListKind, LoadReport, Micros, Outcome, Settings, Status};
 use bytes::Bytes;
 use levels::{Spec, Usage};
 use std::net::SocketAddr;
@@ -99,7 +99,7 @@
         entries: Vec<Listed>,
     },
     /// The watch on the list has failed and ended.
-    ListFailed,
+    ListFailed(CallLost),
     /// A flow was taken; its id is new.
     Taken(JobSpec),
     /// A request got a fixed response before it was a flow, and its class was known.
--- a/crates/state/src/reducer.rs
+++ b/crates/state/src/reducer.rs
@@ -181,7 +181,7 @@
                 self.events.push_back(Event::Listed { kind, entries });
             }
             Input::Ruled(rulings) => self.ruled(rulings),
-            Input::ListFailed => self.events.push_back(Event::ListFailed),
+            Input::ListFailed(lost) => self.events.push_back(Event::ListFailed(lost)),
             Input::Taken(spec) => {
                 self.state.flows.take(spec.id, spec.class, spec.expires);
                 self.state.counts.taken(spec.class);
