Split the decisions into eleven files by subject, all under policy

Listing, holding, placing, repeating (with the retry budget), cold, outcomes, probing, backoff and the constants stand in files of their own, 19 to 193 lines each, all named under `policy`; what is merely kept (types without a decision) went to kept.rs, beside figures and memory.

--- /dev/null
+++ b/crates/decide/src/repeating.rs
@@ -0,0 +1,71 @@
+//! What may be sent, and sent again: the rules on repeats, and the budget of retries.
+
+use super::*;
+
+impl Job {
+    pub(crate) fn in_flight(&self) -> bool {
+        self.attempts.iter().any(|a| a.outcome.is_none())
+    }
+
+    pub(crate) fn exposed(&self, rules: &Rules) -> Option<&Attempt> {
+        let unrun = |o: Outcome| o.proves_unrun() && !(rules.refusal_inconclusive && o == Outcome::Full);
+        self.attempts.iter().find(|a| a.outcome.is_none_or(|o| !unrun(o)))
+    }
+}
+
+/// Counts for the retry budget, rounded down: jobs taken, by parts of the window, and further attempts.
+#[derive(Debug, Default)]
+pub(crate) struct Budget {
+    pub(crate) rule: Option<RetryBudget>,
+    pub(crate) taken: VecDeque<(Micros, u32)>,
+    pub(crate) spent: VecDeque<Micros>,
+}
+
+impl Budget {
+    pub(crate) fn take(&mut self, now: Micros) {
+        let Some(rule) = &self.rule else { return };
+        match self.taken.back_mut() {
+            Some((since, jobs)) if now < *since + rule.window / BUCKETS => *jobs += 1,
+            _ => self.taken.push_back((now, 1)),
+        }
+        self.taken.retain(|(since, _)| now < since + rule.window);
+        self.spent.retain(|t| now <= t + rule.window);
+    }
+
+    /// One more further attempt fits; what can be done without leaves half of the minimum.
+    pub(crate) fn fits(&self, now: Micros, needed: bool) -> bool {
+        let Some(rule) = &self.rule else { return true };
+        let taken = self.taken.iter().filter(|(since, _)| now < since + rule.window);
+        let taken: f64 = taken.map(|(_, jobs)| f64::from(*jobs)).sum();
+        let allowed = f64::from(rule.minimum) + rule.ratio * taken;
+        let spent = self.spent.iter().filter(|t| now <= **t + rule.window).count();
+        allowed as usize > spent + if needed { 0 } else { rule.minimum as usize / 2 }
+    }
+}
+
+impl Dispatcher {
+    pub(crate) fn may_push(&self, id: JobId, worker: WorkerId) -> bool {
+        let (Some(job), Some(w)) = (self.jobs.get(&id), self.workers.get(&worker)) else { return false };
+        let class = &self.settings.classes[job.spec.class];
+        let barred = self.spent(job) || job.in_flight() && !self.settings.limits.concurrent_attempts;
+        let kind_ok = class.kind.is_none_or(|k| k == w.listing.kind);
+        let over = job.over || barred || !kind_ok || self.now >= job.spec.expires;
+        let open = !over && w.ready() && w.backoff.open(self.now);
+        let fits = || job.attempts.is_empty() || self.budget.fits(self.now, true);
+        open && fits() && self.repeat_ok(job, Some(worker)) && self.cold_ok(job, w)
+    }
+
+    /// What may have run is repeated only as its class allows; with no worker named: anywhere at all.
+    pub(crate) fn repeat_ok(&self, job: &Job, worker: Option<WorkerId>) -> bool {
+        match (job.exposed(&self.settings.rules), self.settings.classes[job.spec.class].idempotency) {
+            (None, _) | (_, Idempotency::Safe) => true,
+            (Some(_), Idempotency::Unsafe) => false,
+            (Some(first), Idempotency::Keyed { scope, memory }) => {
+                let group = |id: WorkerId| self.workers.get(&id).map(|w| w.listing.group(scope));
+                let in_group = worker.is_none_or(|w| group(w) == group(first.worker));
+                // Within nine tenths of the memory: the worker's clock starts when the job arrives.
+                in_group && self.now.saturating_sub(first.sent) < memory - memory / 10
+            }
+        }
+    }
+}
