Bear ways closed one way in membership, say who leaves, and cut ways in the rig

SWIM as it stood knew two-sided partitions only. In the model (100 members, a fifth of datagrams lost) one directed way in twenty closed led to three deaths of members that all could reach, and to views that differed after 87 s; a stop by SIGTERM was a suspicion; nobody could see that it is not heard.

Cause, from the model's words: news of an answer to a suspicion is told a bounded number of times and passes one member in some hundreds by; where the way from the accused is closed, nothing else reaches it.

What a member hears itself, or through others that it asked, is there, whatever others say: the accused is told and answers to all. A member that hears nobody tells of itself only, and gives the others their time anew once it hears again. `left` (state 3), told to 4 log2 n others on SIGTERM, then like a death, again and again. Who says three times over half a suspicion that this process is gone does not hear it: log, `GET /members` (heard, heard_by), metrics. A number of the view.

--- a/crates/admin/src/figures.rs
+++ b/crates/admin/src/figures.rs
@@ -24,6 +24,11 @@
     describe_counter!("fordrelay_jobs_in_time_total", "Jobs served in time, by class");
     describe_counter!("fordrelay_jobs_turned_away_total", "Jobs that a level turned away, by class");
     describe_counter!("fordrelay_odd_total", "Lists and datagrams that were odd, by what was odd about them");
+    describe_gauge!("fordrelay_members_deaf_to_this", "Dispatchers that do not hear this one, as they say");
+    describe_gauge!(
+        "fordrelay_view",
+        "The number of the view, alike where the same dispatchers count as there"
+    );
     describe_gauge!("fordrelay_members", "Dispatchers, this one included, by what is believed of them");
     describe_gauge!("fordrelay_level", "The level in force, 0 for full service");
     describe_gauge!("fordrelay_level_figure", "Figures that levels are entered and left by");
@@ -45,10 +50,12 @@
         counter!("fordrelay_odd_total", "what" => odd.word()).absolute(seen.counts.odd(odd));
     }
     if let Some(members) = &seen.members {
-        for state in [State::Alive, State::Suspect, State::Dead] {
-            let count = members.iter().filter(|m| m.state == state).count();
+        for state in [State::Alive, State::Suspect, State::Dead, State::Left] {
+            let count = members.members.iter().filter(|m| m.0.state == state).count();
             gauge!("fordrelay_members", "state" => state.word()).set(count as f64);
         }
+        gauge!("fordrelay_members_deaf_to_this").set(members.members.iter().filter(|m| !m.2).count() as f64);
+        gauge!("fordrelay_view").set(f64::from(members.view));
     }
     gauge!("svc_active").set(seen.counts.active() as f64);
     gauge!("svc_pool_size").set(seen.listed as f64);
--- a/crates/admin/src/server.rs
+++ b/crates/admin/src/server.rs
@@ -162,10 +162,12 @@
             "nobody is watched; see the block membership of the operators' file",
         );
     };
-    let shown = members.iter().map(|m| view::Member {
+    let shown = members.members.iter().map(|(m, heard, heard_by)| view::Member {
         member: m.member,
         state: m.state.word().to_owned(),
         incarnation: m.incarnation,
+        heard: *heard,
+        heard_by: *heard_by,
     });
     match serde_json::to_string(&shown.collect::<Vec<_>>()) {
         Ok(text) => reply(StatusCode::OK, "application/json", text + "\n"),
--- a/crates/admin/src/view.rs
+++ b/crates/admin/src/view.rs
@@ -150,10 +150,16 @@
 pub struct Member {
     /// The dispatcher's number among `peers`.
     pub member: u16,
-    /// `alive`, `suspect` or `dead`, as it is believed here.
+    /// `alive`, `suspect`, `dead` or `left`, as it is believed here.
     pub state: String,
     /// Of its process; 0 where nothing was ever heard of it.
     pub incarnation: u32,
+    /// It was heard directly within the time in which each pings each about four times.
+    #[serde(default)]
+    pub heard: bool,
+    /// It hears this one: it has not said again and again that this one is gone.
+    #[serde(default)]
+    pub heard_by: bool,
 }
 
 /// One figure, against the bounds that matter next.
--- a/crates/fordrelay/src/lifecycle.rs
+++ b/crates/fordrelay/src/lifecycle.rs
@@ -397,6 +397,9 @@
     // What was taken before may have longer; the platform may end the program a little later.
     desk.report(Input::AnswerBy(ends + LAST_ANSWERS.as_micros() as Micros));
     phase.send_replace(if succeeded { Phase::Succeeded } else { Phase::Leaving });
+    if !succeeded {
+        desk.report(Input::Leaving);
+    }
     if succeeded {
         desk.report(Input::Member(None));
         peers.iter().for_each(|peers| peers.leave());
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -20,3 +20,4 @@
 pub mod swings;
 pub mod up;
 pub mod upgrade;
+pub mod witness;
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -93,6 +93,8 @@
     kills: usize,
     pauses: usize,
     splits: usize,
+    leaves: usize,
+    one_sided: usize,
     plan: usize,
     out: u8,
     seed: u64,
@@ -217,6 +219,12 @@
     let kills = long("kills").help("Processes killed, and started again").argument::<usize>("N").fallback(2);
     let pauses = long("pauses").help("Processes stopped for 2 to 5 s").argument::<usize>("N").fallback(1);
     let splits = long("splits").help("Partitions into two").argument::<usize>("N").fallback(1);
+    let leaves =
+        long("leave").help("Processes told to stop, and started again").argument::<usize>("N").fallback(0);
+    let one_sided = long("one-sided")
+        .help("Times that ways are closed in one direction: one deaf or mute, a pair, a half, one in twenty")
+        .argument::<usize>("N")
+        .fallback(0);
     let plan = long("plan")
         .help("Targets of a plan of maintenance, at least three fewer than boxes; 0 for none")
         .argument::<usize>("N")
@@ -233,6 +241,8 @@
         kills,
         pauses,
         splits,
+        leaves,
+        one_sided,
         plan,
         out,
         seed,
@@ -449,6 +459,8 @@
         kills,
         pauses,
         splits,
+        leaves,
+        one_sided,
         plan,
         out,
         seed,
@@ -464,6 +476,8 @@
         kills,
         pauses,
         splits,
+        leaves,
+        one_sided,
         plan,
         out,
         seed,
--- a/crates/lab/src/members.rs
+++ b/crates/lab/src/members.rs
@@ -8,7 +8,7 @@
 use rand_pcg::Pcg64Mcg;
 use serde::{Deserialize, Serialize};
 use std::cmp::Reverse;
-use std::collections::{BTreeMap, BinaryHeap};
+use std::collections::{BTreeMap, BTreeSet, BinaryHeap};
 use std::fmt;
 
 /// What happens to the members.
@@ -24,7 +24,19 @@
     Resume(u16),
     /// Members below this one hear nothing of the others.
     Split(u16),
-    /// They hear each other again.
+    /// What the first sends does not reach the second any more.
+    Cut(u16, u16),
+    /// That member hears nobody.
+    Deaf(u16),
+    /// Nobody hears that member.
+    Mute(u16),
+    /// Members below this one are heard by none of the others, but hear them.
+    HalfMute(u16),
+    /// So many of a thousand directed ways are closed, drawn from the seed.
+    SomeWays(u16),
+    /// It is told to stop: it says so, and ends two periods later.
+    Leave(u16),
+    /// All hear each other again.
     Heal,
 }
 
@@ -74,6 +86,16 @@
     pub agreed_after_ms: Option<u64>,
     /// How long a suspect has to say otherwise, ms.
     pub suspicion_ms: u64,
+    /// How long until all had heard that one has left, the longest, ms.
+    pub left_known_ms: u64,
+    /// Members that left and were suspected by somebody.
+    pub left_suspected: u64,
+    /// Members that somebody does not hear, as they have been told.
+    pub unheard: u64,
+    /// How long after the last fault the numbers of all views were the same for good, ms; none if they were not by the end.
+    pub views_equal_ms: Option<u64>,
+    /// Times that the number of a view changed, of the member with the most.
+    pub view_changes: u64,
 }
 
 impl fmt::Display for Summary {
@@ -83,13 +105,18 @@
         writeln!(
             f,
             "{} members, {} lost: {:.2} datagrams/s and {:.0} bytes/s each, {} false deaths, agreed {agreed} (suspects have \
-             {} ms)",
+             {} ms); leaving known within {} ms, {} suspected; {} unheard; views equal {:?} ms after it, at most {} changes",
             self.members,
             self.loss,
             self.datagrams_per_member_s,
             self.bytes_per_member_s,
             self.false_deaths,
-            self.suspicion_ms
+            self.suspicion_ms,
+            self.left_known_ms,
+            self.left_suspected,
+            self.unheard,
+            self.views_equal_ms,
+            self.view_changes
         )
     }
 }
@@ -97,6 +124,7 @@
 #[derive(Debug)]
 enum Due {
     Tick(u16),
+    Ends(u16),
     Arrives { to: u16, bytes: Vec<u8> },
     Fault(Fault),
 }
@@ -108,6 +136,10 @@
     wake: Option<Micros>,
     /// What came while it was stopped waits for it, as in a socket.
     waiting: Vec<Vec<u8>>,
+    /// When it said that it goes, and who has heard of it.
+    left: Option<(Micros, BTreeSet<u16>)>,
+    view: u32,
+    view_changes: u64,
 }
 
 /// Datagrams that wait for a stopped process at most.
@@ -122,6 +154,12 @@
     count: u64,
     processes: Vec<Process>,
     split: u16,
+    /// Ways that are closed, by sender and receiver.
+    cut: BTreeSet<(u16, u16)>,
+    left_known: Micros,
+    left_suspected: BTreeSet<u16>,
+    unheard: BTreeSet<u16>,
+    equal: Option<Micros>,
     datagrams: u64,
     bytes: u64,
     false_deaths: u64,
@@ -144,6 +182,11 @@
         false_deaths: model.false_deaths,
         agreed_after_ms: model.agreed.map(|at| at.saturating_sub(model.last_fault) / 1_000),
         suspicion_ms: model.processes[0].swim.suspicion() / 1_000,
+        left_known_ms: model.left_known / 1_000,
+        left_suspected: model.left_suspected.len() as u64,
+        unheard: model.unheard.len() as u64,
+        views_equal_ms: model.equal.map(|at| at.saturating_sub(model.last_fault) / 1_000),
+        view_changes: model.processes.iter().map(|p| p.view_changes).max().unwrap_or(0),
     }
 }
 
@@ -159,6 +202,11 @@
             count: 0,
             processes: vec![],
             split: 0,
+            cut: BTreeSet::new(),
+            left_known: 0,
+            left_suspected: BTreeSet::new(),
+            unheard: BTreeSet::new(),
+            equal: None,
             datagrams: 0,
             bytes: 0,
             false_deaths: 0,
@@ -180,7 +228,8 @@
         let seed = self.rng.random();
         let (members, period) = (self.terms.members, self.terms.period);
         let swim = Swim::new(membership::Terms { me, members, period, incarnation, seed }, self.now);
-        Process { swim, runs: true, wake: None, waiting: vec![] }
+        let view = swim.view_number();
+        Process { swim, runs: true, wake: None, waiting: vec![], left: None, view, view_changes: 0 }
     }
 
     fn later(&mut self, at: Micros, what: Due) {
@@ -214,6 +263,7 @@
                         self.carry_out(me, effects);
                     }
                 }
+                Due::Ends(me) => self.processes[usize::from(me)].runs = false,
                 Due::Arrives { to, bytes } => self.arrives(to, bytes),
                 Due::Fault(fault) => self.fault(fault),
             }
@@ -234,8 +284,15 @@
         }
     }
 
-    fn reach(&self, a: u16, b: u16) -> bool {
-        (a < self.split) == (b < self.split)
+    /// Whether what the first sends reaches the second.
+    fn reach(&self, from: u16, to: u16) -> bool {
+        (from < self.split) == (to < self.split) && !self.cut.contains(&(from, to))
+    }
+
+    /// ... directly, or through one other that runs.
+    fn way(&self, from: u16, to: u16) -> bool {
+        let through = |x| self.processes[usize::from(x)].runs && self.reach(from, x) && self.reach(x, to);
+        self.reach(from, to) || (0..self.terms.members).any(through)
     }
 
     fn carry_out(&mut self, me: u16, effects: Vec<Effect>) {
@@ -245,8 +302,12 @@
                 Effect::Send { to, message } => self.send(me, to, &message),
                 Effect::Changed(Change { member, state, .. }) => {
                     changed = true;
-                    let there = self.processes[usize::from(member)].runs && self.reach(me, member);
-                    self.false_deaths += u64::from(state == State::Dead && there);
+                    self.changed(me, member, state);
+                }
+                Effect::HeardBy { heard, .. } => {
+                    if !heard {
+                        self.unheard.insert(me);
+                    }
                 }
             }
         }
@@ -256,6 +317,28 @@
         self.arm(me);
     }
 
+    fn changed(&mut self, me: u16, member: u16, state: State) {
+        let there = self.processes[usize::from(member)].runs && self.way(member, me) && self.way(me, member);
+        self.false_deaths += u64::from(state == State::Dead && there);
+        let number = self.processes[usize::from(me)].swim.view_number();
+        let process = &mut self.processes[usize::from(me)];
+        process.view_changes += u64::from(std::mem::replace(&mut process.view, number) != number);
+        let running: Vec<u16> = (0..self.terms.members)
+            .filter(|m| *m != member && self.processes[usize::from(*m)].runs)
+            .collect();
+        if let Some((since, heard)) = &mut self.processes[usize::from(member)].left {
+            match state {
+                State::Left => drop(heard.insert(me)),
+                State::Suspect | State::Dead => drop(self.left_suspected.insert(member)),
+                State::Alive => {}
+            }
+            if running.iter().all(|m| heard.contains(m)) {
+                self.left_known = self.left_known.max(self.now - *since);
+                self.processes[usize::from(member)].left = None;
+            }
+        }
+    }
+
     fn send(&mut self, me: u16, to: u16, message: &Message) {
         let Ok(bytes) = message.encode() else { return };
         self.datagrams += 1;
@@ -272,10 +355,19 @@
 
     /// Whether all who run believe the truth of all, that is, of who can be reached by them.
     fn look(&mut self) {
+        let numbers = (0..self.terms.members).filter(|m| self.processes[usize::from(*m)].runs);
+        let mut numbers = numbers.map(|m| self.processes[usize::from(m)].swim.view_number());
+        let first = numbers.next();
+        self.equal = match numbers.all(|n| Some(n) == first) {
+            true => self.equal.or(Some(self.now)),
+            false => None,
+        };
         let right = |me: u16| {
             (0..self.terms.members).all(|other| {
-                let there = self.processes[usize::from(other)].runs && self.reach(me, other);
-                (self.processes[usize::from(me)].swim.state(other) != Some(State::Dead)) == there
+                let process = &self.processes[usize::from(other)];
+                let there =
+                    process.runs && process.left.is_none() && self.way(other, me) && self.way(me, other);
+                self.processes[usize::from(me)].swim.state(other).is_some_and(State::there) == there
                     || me == other
             })
         };
@@ -287,7 +379,7 @@
     }
 
     fn fault(&mut self, fault: Fault) {
-        (self.last_fault, self.agreed) = (self.now, None);
+        (self.last_fault, self.agreed, self.equal) = (self.now, None, None);
         match fault {
             Fault::Kill(m) | Fault::Pause(m) => self.processes[usize::from(m)].runs = false,
             Fault::Resume(m) => {
@@ -301,11 +393,33 @@
             Fault::Restart(m, noted) => {
                 let last = self.processes[usize::from(m)].swim.incarnation();
                 let incarnation = if noted { membership::serial::next(last) } else { 1 };
-                self.processes[usize::from(m)] = self.process(m, incarnation);
+                let process = self.process(m, incarnation);
+                self.processes[usize::from(m)] = process;
                 self.arm(m);
             }
             Fault::Split(at) => self.split = at,
-            Fault::Heal => self.split = 0,
+            Fault::Cut(from, to) => drop(self.cut.insert((from, to))),
+            Fault::Deaf(m) => self.cut.extend((0..self.terms.members).map(|from| (from, m))),
+            Fault::Mute(m) => self.cut.extend((0..self.terms.members).map(|to| (m, to))),
+            Fault::HalfMute(below) => {
+                let others = below..self.terms.members;
+                self.cut.extend((0..below).flat_map(|from| others.clone().map(move |to| (from, to))));
+            }
+            Fault::SomeWays(share) => {
+                let all = (0..self.terms.members).flat_map(|a| (0..self.terms.members).map(move |b| (a, b)));
+                let rng = &mut self.rng;
+                self.cut.extend(all.filter(|_| rng.random_range(0..1_000) < share));
+            }
+            Fault::Leave(m) => {
+                self.processes[usize::from(m)].left = Some((self.now, BTreeSet::new()));
+                let effects = self.processes[usize::from(m)].swim.leave(self.now);
+                self.carry_out(m, effects);
+                self.later(self.now + 2 * self.terms.period, Due::Ends(m));
+            }
+            Fault::Heal => {
+                self.split = 0;
+                self.cut.clear();
+            }
         }
         self.look();
     }
--- a/crates/lab/src/relay.rs
+++ b/crates/lab/src/relay.rs
@@ -10,6 +10,7 @@
 use rand_pcg::rand_core::SeedableRng;
 use rand_pcg::Pcg64Mcg;
 use std::cell::{Cell, RefCell};
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -40,6 +41,8 @@
     homes: Vec<SocketAddr>,
     /// Dispatchers on this side hear nothing of the others.
     side: RefCell<Vec<bool>>,
+    /// Ways that are closed, by sender and receiver.
+    closed: RefCell<BTreeSet<(usize, usize)>>,
     on_the_way: Cell<usize>,
     sent: Cell<(u64, u64)>,
     dropped: Cell<u64>,
@@ -70,6 +73,7 @@
             links,
             homes,
             side: RefCell::new(vec![false; count]),
+            closed: RefCell::default(),
             on_the_way: Cell::new(0),
             sent: Cell::default(),
             dropped: Cell::new(0),
@@ -104,6 +108,11 @@
         side.iter_mut().enumerate().for_each(|(n, s)| *s = one_side.contains(&n));
     }
 
+    /// From now on these ways, by sender and receiver, carry nothing; none of them, and all do.
+    pub fn close(&self, ways: &[(usize, usize)]) {
+        *self.closed.borrow_mut() = ways.iter().copied().collect();
+    }
+
     /// Datagrams that dispatchers sent, and their bytes.
     pub fn sent(&self) -> (u64, u64) {
         self.sent.get()
@@ -149,9 +158,9 @@
         }
     }
 
-    fn apart(&self, a: usize, b: usize) -> bool {
+    fn apart(&self, from: usize, to: usize) -> bool {
         let side = self.side.borrow();
-        side[a] != side[b]
+        side[from] != side[to] || self.closed.borrow().contains(&(from, to))
     }
 
     /// Ends it: nothing is carried any more.
--- a/crates/lab/src/rig.rs
+++ b/crates/lab/src/rig/mod.rs
@@ -1,29 +1,32 @@
 //! The fault rig: many processes of the program on one machine, with clients, stand-in boxes and discovery, a relay between
 //! them, and faults at times drawn from a seed: killed, stopped, started again, parted. It ends by itself.
 
+mod faults;
+mod seat;
+
 use crate::dispatcher::DispatcherError;
 use crate::fleet::{Fleet, World};
 use crate::load::Clients;
 use crate::records::Records;
 use crate::relay::{Relay, Weather};
 use crate::scenario::{Addresses, Fault as Sickness, Scenario, SECOND};
+use crate::witness::{Closed, Down, Witness};
 use admin::view::{Maintenance, Member};
 use api::Micros;
+pub use faults::{Case, Fault};
 use hyper::Method;
 use maintenance::Standing;
-use rand::seq::index::sample;
 use rand::Rng;
 use rand_pcg::rand_core::SeedableRng;
 use rand_pcg::Pcg64Mcg;
+use seat::{unix, Seat};
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeSet;
 use std::fmt;
 use std::net::{SocketAddr, TcpListener, UdpSocket};
-use std::path::{Path, PathBuf};
-use std::process::Stdio;
+use std::path::Path;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
-use tokio::process::{Child, Command};
 use tokio::task::{spawn_local, LocalSet};
 
 /// Dispatchers at most: each pair has two sockets of the relay.
@@ -62,6 +65,10 @@
     pub pauses: usize,
     /// Times that the dispatchers are parted into two, for 3 to 6 s.
     pub splits: usize,
+    /// Processes told to stop, and started again 4 to 6 s later.
+    pub leaves: usize,
+    /// Times that ways between dispatchers are closed in one direction, as in one of the hard cases.
+    pub one_sided: usize,
     /// Targets of a plan of maintenance, for which there must be three boxes more; 0, and there is none.
     pub plan: usize,
     /// How many of them may be out together.
@@ -70,24 +77,6 @@
     pub seed: u64,
 }
 
-/// Something that happens.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
-#[serde(rename_all = "kebab-case")]
-pub enum Fault {
-    /// It is killed outright.
-    Kill(usize),
-    /// It is started again.
-    Start(usize),
-    /// It is stopped.
-    Pause(usize),
-    /// It goes on.
-    Resume(usize),
-    /// These hear nothing of the others.
-    Split(Vec<usize>),
-    /// All hear each other.
-    Heal,
-}
-
 /// What it came to.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub struct Summary {
@@ -119,10 +108,27 @@
     pub dropped: u64,
     /// Processes that ended by themselves.
     pub crashed: usize,
+    /// What the processes believed of each other, by their logs.
+    pub members: MembersSummary,
     /// What became of the plan, where there was one.
     pub plan: Option<PlanSummary>,
 }
 
+/// What the processes believed of each other.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct MembersSummary {
+    /// Deaths that a process took for true of one that ran, while both could reach each other, directly or through one other.
+    pub false_deaths: usize,
+    /// The longest until a process that could hear of it knew that another had left, ms.
+    pub left_known_ms: u64,
+    /// Processes that suspected one that had left, and could have heard of it.
+    pub left_suspected: usize,
+    /// Processes that said that somebody does not hear them.
+    pub unheard: usize,
+    /// How long after the last fault all views were the same, ms; none if they were not in time.
+    pub views_equal_ms: Option<u64>,
+}
+
 /// What became of a plan of maintenance.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub struct PlanSummary {
@@ -164,6 +170,12 @@
             "all took all for alive: {agreed}; {:.2} datagrams/s and {:.0} bytes/s each, {} dropped",
             self.datagrams_per_dispatcher_s, self.bytes_per_dispatcher_s, self.dropped
         )?;
+        let m = &self.members;
+        writeln!(
+            f,
+            "members: {} false deaths, leaving known within {} ms, {} suspected after it, {} unheard",
+            m.false_deaths, m.left_known_ms, m.left_suspected, m.unheard
+        )?;
         if let Some(plan) = &self.plan {
             let over = plan.over_after_ms.map_or("never".to_owned(), |ms| format!("after {ms} ms"));
             writeln!(
@@ -176,75 +188,6 @@
     }
 }
 
-/// One dispatcher of the rig: its files and addresses stay, its processes come and go.
-struct Seat {
-    child: Option<Child>,
-    /// It is stopped since then, and answers nobody.
-    paused: Option<Micros>,
-    listen: SocketAddr,
-    admin: SocketAddr,
-    config: PathBuf,
-    operator: PathBuf,
-    log: PathBuf,
-    /// When each of its processes started and ended, Unix time in microseconds; 0 while it runs.
-    lives: Vec<(Micros, Micros)>,
-}
-
-fn unix() -> Micros {
-    let since = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH);
-    since.map_or(0, |d| d.as_micros() as Micros)
-}
-
-impl Seat {
-    fn start(&mut self) -> std::io::Result<()> {
-        let log = self.log_of(self.lives.len());
-        self.lives.push((unix(), 0));
-        let child = Command::new(std::env::current_exe()?)
-            .args(["dispatcher", "--config"])
-            .arg(&self.config)
-            .arg("--operator")
-            .arg(&self.operator)
-            .stdin(Stdio::null())
-            .stdout(Stdio::null())
-            .stderr(std::fs::File::create(log)?)
-            .kill_on_drop(true)
-            .spawn()?;
-        self.child = Some(child);
-        Ok(())
-    }
-
-    fn log_of(&self, life: usize) -> PathBuf {
-        self.log.with_extension(format!("{}.log", life + 1))
-    }
-
-    fn ended(&mut self) {
-        self.lives.last_mut().into_iter().for_each(|life| life.1 = unix());
-    }
-
-    async fn ready(&self) -> std::io::Result<()> {
-        let began = Instant::now();
-        while admin::ask(self.admin, Method::GET, "/-/ready").await.is_err() {
-            if began.elapsed() > READY {
-                return Err(std::io::Error::other(format!("no process is ready at {}", self.log.display())));
-            }
-            tokio::time::sleep(ASK).await;
-        }
-        Ok(())
-    }
-
-    async fn signal(&self, name: &str) -> std::io::Result<()> {
-        if let Some(id) = self.child.as_ref().and_then(Child::id) {
-            Command::new("kill").args(["-s", name, &id.to_string()]).status().await?;
-        }
-        Ok(())
-    }
-
-    /// Whether its process ended without being told to.
-    fn crashed(&mut self) -> bool {
-        self.child.as_mut().is_some_and(|child| !matches!(child.try_wait(), Ok(None)))
-    }
-}
-
 /// Plays it on sockets.
 ///
 /// # Errors
@@ -255,35 +198,6 @@
     LocalSet::new().block_on(&runtime, play(terms, folder))
 }
 
-/// What happens, drawn from the seed; nothing of it in the first and the last part of the run.
-fn faults(terms: &Terms, rng: &mut Pcg64Mcg) -> Vec<(Micros, Fault)> {
-    let (from, to) = (0, (terms.seconds * SECOND).saturating_sub(6 * SECOND).max(1));
-    let mut faults = vec![];
-    // Each dispatcher suffers once at most, so that what is drawn is what happens.
-    let hit = (terms.kills + terms.pauses).min(terms.dispatchers);
-    let hit: Vec<usize> = sample(rng, terms.dispatchers, hit).into_iter().collect();
-    for (n, which) in hit.into_iter().enumerate() {
-        let at = rng.random_range(from..to);
-        if n < terms.kills {
-            faults.push((at, Fault::Kill(which)));
-            faults.push((at + rng.random_range(SECOND..4 * SECOND), Fault::Start(which)));
-        } else {
-            faults.push((at, Fault::Pause(which)));
-            faults.push((at + rng.random_range(2 * SECOND..5 * SECOND), Fault::Resume(which)));
-        }
-    }
-    for n in 0..terms.splits as Micros {
-        // One after the other, in parts of the run of their own.
-        let part = to / terms.splits as Micros;
-        let at = n * part + rng.random_range(0..part.max(2) / 2);
-        let size = rng.random_range(1..terms.dispatchers.max(2));
-        faults.push((at, Fault::Split(sample(rng, terms.dispatchers, size).into_iter().collect())));
-        faults.push((at + rng.random_range(part / 4..=part / 2).min(6 * SECOND), Fault::Heal));
-    }
-    faults.sort_by_key(|(at, _)| *at);
-    faults
-}
-
 /// Addresses that nobody has, below the ports that the system gives out by itself: a process that comes back must find its
 /// own free, whatever was connected meanwhile.
 fn free(count: usize) -> std::io::Result<Vec<SocketAddr>> {
@@ -331,8 +245,17 @@
             folder.join("notes").display().to_string()
         );
         std::fs::write(&operator, text)?;
-        let mut seat =
-            Seat { child: None, paused: None, listen, admin, config, operator, log, lives: vec![] };
+        let mut seat = Seat {
+            child: None,
+            paused: None,
+            listen,
+            admin,
+            config,
+            operator,
+            log,
+            leaving: None,
+            lives: vec![],
+        };
         seat.start()?;
         seats.push(seat);
     }
@@ -383,6 +306,9 @@
             for at in 0..world.scenario.boxes.len() {
                 world.checker.borrow_mut().told(world.now(), at, *n as u32, true);
             }
+            if !seats[*n].gone().await {
+                world.checker.borrow_mut().other(world.now(), &format!("dispatcher {n} did not leave well"));
+            }
             seats[*n].start()?;
             seats[*n].ready().await?;
         }
@@ -398,6 +324,9 @@
                 world.checker.borrow_mut().goes_on(world.now(), since, *n as u32);
             }
         }
+        Fault::Leave(n) => seats[*n].leave().await?,
+        Fault::OneSided(_, ways) => relay.close(ways),
+        Fault::Open => relay.close(&[]),
         Fault::Split(one_side) => relay.split(one_side),
         Fault::Heal => relay.split(&[]),
     }
@@ -412,7 +341,7 @@
     let fleet = Fleet::start(Rc::clone(&world)).await?;
     let (mut seats, relay) = seats(&terms, &world, &fleet, folder).await?;
     let mut rng = Pcg64Mcg::seed_from_u64(terms.seed ^ 0xf1ee7);
-    let faults = faults(&terms, &mut rng);
+    let faults = faults::drawn(&terms, &mut rng);
     let clients = Clients::new(Rc::clone(&world), seats.iter().map(|s| s.listen).collect());
     clients.counts_lost();
     tokio::time::sleep(LEAD).await;
@@ -478,10 +407,12 @@
     }
     relay.stop();
     let mut records = Records::default();
+    let mut witness = Witness::default();
     let mut starts = vec![];
     for (number, seat) in seats.iter().enumerate() {
         for (life, (started, ended)) in seat.lives.iter().enumerate() {
             records.read(number, &seat.log_of(life), *ended)?;
+            witness.read(number, &seat.log_of(life))?;
             starts.push((number, *started));
         }
     }
@@ -500,6 +431,16 @@
             forced: records.forced,
         }
     });
+    let suspicion = (terms.period_ms as f64 * 10.0 * log10) as Micros * 1_000;
+    let start = unix() - world.now() + began;
+    let (down, closed) = troubles(terms.dispatchers, &happened, start);
+    let members = MembersSummary {
+        false_deaths: witness.false_deaths(terms.dispatchers, &down, &closed, suspicion),
+        left_known_ms: witness.left_known(terms.dispatchers, &down, &closed) / 1_000,
+        left_suspected: witness.left_suspected(&down, &closed),
+        unheard: witness.unheard(),
+        views_equal_ms: agreed_after_ms,
+    };
     let mut checker = world.checker.borrow_mut();
     let never = checker.end(world.now());
     let (rules_broken, words) = checker.broken();
@@ -519,10 +460,43 @@
         bytes_per_dispatcher_s: per(sent.1 - sent_before.1),
         dropped: relay.dropped(),
         crashed,
+        members,
         plan,
     })
 }
 
+/// When dispatchers were down, and which ways were closed, Unix time in microseconds.
+fn troubles(count: usize, happened: &[(u64, Fault)], start: Micros) -> (Vec<Down>, Vec<Closed>) {
+    let (mut down, mut closed): (Vec<Down>, Vec<Closed>) = Default::default();
+    for (ms, fault) in happened {
+        let at = start + ms * 1_000;
+        let mut fails = |dispatcher: usize, left| {
+            down.push(Down { dispatcher, from: at, to: Micros::MAX, left });
+        };
+        match fault {
+            Fault::Kill(n) | Fault::Pause(n) => fails(*n, false),
+            Fault::Leave(n) => fails(*n, true),
+            Fault::Start(n) | Fault::Resume(n) => {
+                down.iter_mut().filter(|d| d.dispatcher == *n).for_each(|d| d.to = d.to.min(at));
+            }
+            Fault::OneSided(_, ways) => {
+                closed.push(Closed { from: at, to: Micros::MAX, split: false, ways: ways.clone() })
+            }
+            Fault::Split(side) => {
+                let across = |a: usize, b: usize| side.contains(&a) != side.contains(&b);
+                let ways =
+                    (0..count).flat_map(|a| (0..count).map(move |b| (a, b))).filter(|(a, b)| across(*a, *b));
+                closed.push(Closed { from: at, to: Micros::MAX, split: true, ways: ways.collect() });
+            }
+            Fault::Open | Fault::Heal => {
+                let split = *fault == Fault::Heal;
+                closed.iter_mut().filter(|c| c.split == split).for_each(|c| c.to = c.to.min(at));
+            }
+        }
+    }
+    (down, closed)
+}
+
 /// Restarts each target of the plan that is empty everywhere, as operators would.
 async fn work(fleet: Rc<Fleet>, admins: Vec<SocketAddr>) {
     let mut done: BTreeSet<usize> = BTreeSet::new();
--- a/crates/lab/tests/members.rs
+++ b/crates/lab/tests/members.rs
@@ -59,6 +59,49 @@
     assert_eq!(summary.false_deaths, 0, "{summary}");
 }
 
+/// Ways that are closed in one direction: nobody who can be reached through another is taken for dead, and all views are the
+/// same soon after the ways are open again. Before, one in twenty ways closed had a hundred members take three for dead in two
+/// minutes, whose answers had passed them by.
+#[rstest]
+#[case::pair(Fault::Cut(3, 4), 60)]
+#[case::one_in_twenty(Fault::SomeWays(50), 60)]
+#[case::mute(Fault::Mute(3), 40)]
+#[case::deaf(Fault::Deaf(3), 40)]
+fn ways_closed_one_way_kill_nobody_who_can_be_reached(#[case] fault: Fault, #[case] until: u64) {
+    let faults = vec![(5_000, fault), (until * 1_000, Fault::Heal)];
+    let summary = play(40, 0.2, until + 20, faults);
+    assert_eq!(summary.false_deaths, 0, "{summary}");
+    assert!(summary.views_equal_ms.is_some_and(|ms| ms < 10_000), "{summary}");
+}
+
+/// A member that nobody hears learns of it from those that it hears; others don't say so for a lost datagram or two.
+#[test]
+fn a_mute_member_learns_of_it() {
+    let mute = play(16, 0.2, 40, vec![(5_000, Fault::Mute(3))]);
+    assert!(mute.unheard >= 1, "{mute}");
+    let calm = play(16, 0.2, 60, vec![]);
+    assert_eq!(calm.unheard, 0, "{calm}");
+}
+
+/// Whoever leaves says so: known to all within three periods, and nobody suspects it.
+#[rstest]
+#[case(16)]
+#[case(100)]
+fn who_leaves_is_known_to_all_and_suspected_by_nobody(#[case] members: u16) {
+    let summary = play(members, 0.2, 40, vec![(5_000, Fault::Leave(3))]);
+    assert!((1..1_500).contains(&summary.left_known_ms), "{summary}");
+    assert_eq!((summary.left_suspected, summary.false_deaths), (0, 0), "{summary}");
+}
+
+/// Stopped and going on every two seconds: below the suspicion, the view does not change.
+#[test]
+fn a_member_that_flaps_changes_no_view() {
+    let flaps =
+        (0..10).flat_map(|n| [(5_000 + 4_000 * n, Fault::Pause(3)), (7_000 + 4_000 * n, Fault::Resume(3))]);
+    let summary = play(40, 0.2, 60, flaps.collect());
+    assert!(summary.false_deaths == 0 && summary.view_changes <= 2, "{summary}");
+}
+
 #[test]
 fn one_seed_has_one_outcome() {
     let once =
--- a/crates/membership/src/swim.rs
+++ b/crates/membership/src/swim.rs
@@ -9,6 +9,9 @@
 //! Members are known beforehand and never forgotten: those that are dead are pinged now and then, so that halves of a
 //! partition find each other again.
 
+mod evidence;
+
+use crate::hearing::Hearing;
 use crate::serial::{newer, next};
 use crate::wire::{Change, Kind, Message, State, MOST_CHANGES};
 use api::Micros;
@@ -29,6 +32,8 @@
 const TO_THE_DEAD: u64 = 4;
 /// The worst local health: waits are up to this many times longer, and once.
 const SICKEST: u64 = 3;
+/// Members that one which leaves tells itself, times the binary logarithm of all; the others hear of it from these.
+const FAREWELLS: f64 = 4.0;
 /// Pings that are under way for others at most; the oldest makes room.
 const RELAYS: usize = 64;
 
@@ -59,6 +64,13 @@
     },
     /// What is believed of another member has changed.
     Changed(Change),
+    /// Whether that member hears this one has changed: it says that this one is gone, and no answer reaches it.
+    HeardBy {
+        /// The member's number.
+        member: u16,
+        /// It does again.
+        heard: bool,
+    },
 }
 
 /// What is believed of another member.
@@ -112,6 +124,12 @@
     heard: bool,
     /// Whose death is told again next, besides news.
     reminder: u16,
+    /// Who was heard, and who says that this member is not.
+    hearing: Hearing,
+    /// It has said that it goes.
+    left: bool,
+    /// Since when the same members have been there.
+    stable_since: Micros,
     effects: Vec<Effect>,
 }
 
@@ -143,6 +161,9 @@
             health: 0,
             heard: false,
             reminder: 0,
+            hearing: Hearing::new(members),
+            left: false,
+            stable_since: now,
             effects,
             terms,
         };
@@ -163,9 +184,9 @@
         self.members.get(usize::from(member)).map(|m| m.state)
     }
 
-    /// Those that are not taken for dead, itself included.
+    /// Those that are there as far as is known, itself included.
     pub fn alive(&self) -> impl Iterator<Item = u16> + '_ {
-        (0..self.terms.members).filter(|m| self.state(*m) != Some(State::Dead))
+        (0..self.terms.members).filter(|m| self.state(*m).is_some_and(State::there))
     }
 
     /// What is believed of each, by number.
@@ -177,6 +198,9 @@
     pub fn wake_at(&self) -> Micros {
         let probe =
             self.probe.map_or(self.next_probe, |p| if p.asked || p.answered { p.ends } else { p.ask_at });
+        if self.left {
+            return Micros::MAX;
+        }
         let suspects = self.members.iter().filter(|m| m.state == State::Suspect);
         suspects.map(|m| m.until).fold(probe, Micros::min)
     }
@@ -192,10 +216,18 @@
 
     /// The time of [`Swim::wake_at`] has come, or another.
     pub fn tick(&mut self, now: Micros) -> Vec<Effect> {
+        if self.left {
+            return vec![];
+        }
+        for (member, heard) in self.hearing.changes(self.suspicion() / 2) {
+            self.effects.push(Effect::HeardBy { member, heard });
+        }
         for member in 0..self.terms.members {
             let m = self.members[usize::from(member)];
             if m.state == State::Suspect && m.until <= now {
                 self.believe(now, Change { member, incarnation: m.incarnation, state: State::Dead });
+                // Heard meanwhile: it has its time anew.
+                self.members[usize::from(member)].until = now + self.suspicion();
             }
         }
         match self.probe {
@@ -215,14 +247,26 @@
             return vec![];
         }
         self.heard = true;
+        if self.hearing.deaf() {
+            // It hears again: those that it could not hear have their time anew.
+            let until = now + self.suspicion();
+            self.members.iter_mut().for_each(|m| m.until = m.until.max(until));
+        }
         // A process tells of itself with all that it sends.
         self.believe(now, Change { member: from, incarnation: message.incarnation, state: State::Alive });
+        let known = self.members[usize::from(from)];
+        if known.incarnation == message.incarnation {
+            self.is_heard(now, from);
+        }
+        let accused =
+            |c: &Change| c.member == self.terms.me && matches!(c.state, State::Suspect | State::Dead);
+        self.hearing.accused(from, message.changes.iter().any(accused), now);
         for change in &message.changes {
             self.believe(now, *change);
         }
         match message.kind {
             Kind::Ping => self.send(from, Kind::Ack, sequence, 0),
-            Kind::Ack => self.answered(sequence),
+            Kind::Ack => self.answered(now, from, sequence),
             Kind::PingReq if about < self.terms.members && about != self.terms.me => {
                 let own = self.next_sequence();
                 if self.relays.len() >= RELAYS {
@@ -238,9 +282,14 @@
         std::mem::take(&mut self.effects)
     }
 
-    fn answered(&mut self, sequence: u16) {
+    fn answered(&mut self, now: Micros, from: u16, sequence: u16) {
         if let Some(probe) = self.probe.as_mut().filter(|p| p.sequence == sequence) {
-            probe.answered = true;
+            let target = probe.target;
+            let through = !std::mem::replace(&mut probe.answered, true) && target != from;
+            // News of it may pass this member by where the way from it is closed: an answer through others is as good.
+            if through && self.members[usize::from(target)].state == State::Suspect {
+                self.is_heard(now, target);
+            }
         } else if let Some(relay) = self.relays.remove(&sequence) {
             self.send(relay.asker, Kind::Ack, relay.sequence, relay.target);
         }
@@ -250,12 +299,13 @@
         let m = self.members[usize::from(probe.target)];
         // Whoever hears of nobody is more likely to be at fault itself.
         self.health = if self.heard { self.health.saturating_sub(1) } else { (self.health + 1).min(SICKEST) };
-        if !probe.answered && m.state != State::Dead {
+        if !probe.answered && m.state.there() {
             self.believe(
                 now,
                 Change { member: probe.target, incarnation: m.incarnation, state: State::Suspect },
             );
         }
+        self.hearing.period(self.heard);
         (self.probe, self.heard) = (None, false);
         self.ping_next(now);
     }
@@ -300,7 +350,7 @@
         }
         for _ in 0..2 {
             while let Some(one) = self.round.pop() {
-                if self.state(one) != Some(State::Dead) {
+                if self.state(one).is_some_and(State::there) {
                     return Some(one);
                 }
             }
@@ -322,7 +372,7 @@
         let Change { member, incarnation, state } = change;
         if member == self.terms.me {
             let accused = state != State::Alive && !newer(self.incarnation, incarnation);
-            if accused || newer(incarnation, self.incarnation) {
+            if !self.left && (accused || newer(incarnation, self.incarnation)) {
                 // It is there, whatever they say, and it is later than a process before it.
                 self.incarnation = next(incarnation);
                 self.health = (self.health + u64::from(accused)).min(SICKEST);
@@ -330,11 +380,22 @@
             }
             return;
         }
+        if member >= self.terms.members {
+            return;
+        }
+        // What this member hears itself is there, whatever others hear: a way that is closed one way is not a death.
+        let doubted = matches!(state, State::Suspect | State::Dead);
+        if doubted && self.known(member).incarnation == incarnation && self.hears(member, now) {
+            return self.accuse(now, change);
+        }
         // A member that is slow itself hears late of what others say.
         let until = now + self.suspicion() * (1 + self.health);
         let Some(m) = self.members.get_mut(usize::from(member)) else { return };
         if newer(incarnation, m.incarnation) || (incarnation == m.incarnation && state > m.state) {
             let changed = m.state != state || m.incarnation != 0;
+            if m.state.there() != state.there() {
+                self.stable_since = now;
+            }
             *m = Member { state, incarnation, until };
             self.news.insert(member, 0);
             if changed {
@@ -345,7 +406,8 @@
 
     fn known(&self, member: u16) -> Change {
         if member == self.terms.me {
-            return Change { member, incarnation: self.incarnation, state: State::Alive };
+            let state = if self.left { State::Left } else { State::Alive };
+            return Change { member, incarnation: self.incarnation, state };
         }
         let m = self.members[usize::from(member)];
         Change { member, incarnation: m.incarnation, state: m.state }
@@ -361,7 +423,10 @@
         let most = (RETELL * self.log()).ceil() as u32;
         let mut least: Vec<(u32, u16)> = self.news.iter().map(|(m, told)| (*told, *m)).collect();
         least.sort_unstable();
-        for (_, member) in least.into_iter().filter(|(_, m)| *m != to).take(MOST_CHANGES - 1) {
+        // Whoever hears nobody at all tells of itself only: the others are hardly all gone.
+        let deaf = self.hearing.deaf();
+        let told = |m: &u16| *m != to && (!deaf || *m == self.terms.me);
+        for (_, member) in least.into_iter().filter(|(_, m)| told(m)).take(MOST_CHANGES - 1) {
             changes.push(self.known(member));
             let told = self.news.entry(member).or_default();
             *told += 1;
@@ -369,9 +434,10 @@
                 self.news.remove(&member);
             }
         }
-        // News may have passed somebody by: who is dead is told again, one by one.
+        // News may have passed somebody by: who is dead or has left is told again, one by one.
         let after = |m: &u16| (m + self.terms.members - self.reminder) % self.terms.members;
-        let dead = (0..self.terms.members).filter(|m| self.state(*m) == Some(State::Dead) && *m != to);
+        let gone = |m: &u16| !deaf && *m != to && !self.members[usize::from(*m)].state.there();
+        let dead = (0..self.terms.members).filter(|m| *m != self.terms.me && gone(m));
         if let Some(one) = dead.min_by_key(after).filter(|m| changes.iter().all(|c| c.member != *m)) {
             changes.push(self.known(one));
             self.reminder = (one + 1) % self.terms.members;
--- /dev/null
+++ b/crates/membership/src/swim/evidence.rs
@@ -0,0 +1,70 @@
+//! What a member knows from what it hears itself, and what it says when it goes.
+
+use super::*;
+
+impl Swim {
+    /// The number of the view: the same at all members that hold the same others for there.
+    pub fn view_number(&self) -> u32 {
+        let mixed = self.alive().fold(0, |sum: u64, m| sum.wrapping_add(mix(0x51e7, u64::from(m) + 1)));
+        (mixed >> 32) as u32
+    }
+
+    /// Since when the view has had that number.
+    pub fn stable_since(&self) -> Micros {
+        self.stable_since
+    }
+
+    /// Whether that member was heard lately, and whether it hears this one.
+    pub fn heard(&self, member: u16, now: Micros) -> (bool, bool) {
+        // Two datagrams of a member in a period go to one other each.
+        let lately = self.terms.period * u64::from(self.terms.members).max(4) * 2;
+        let me = member == self.terms.me;
+        (me || self.hearing.heard(member, now, lately), me || self.hearing.by(member, self.suspicion() / 2))
+    }
+
+    /// Says that it goes: no suspicion follows. Those that hear it tell the others.
+    pub fn leave(&mut self, now: Micros) -> Vec<Effect> {
+        if std::mem::replace(&mut self.left, true) {
+            return vec![];
+        }
+        (self.probe, self.next_probe) = (None, Micros::MAX);
+        let most = (FAREWELLS * f64::from(self.terms.members).log2()).ceil() as usize;
+        let mut others: Vec<u16> = self.alive().filter(|m| *m != self.terms.me).collect();
+        others.sort_by_key(|m| mix(self.terms.seed, now << 16 | u64::from(*m)));
+        self.news.insert(self.terms.me, 0);
+        for other in others.into_iter().take(most) {
+            self.news.insert(self.terms.me, 0);
+            self.send(other, Kind::Ack, 0, 0);
+        }
+        std::mem::take(&mut self.effects)
+    }
+
+    /// A member's living process was heard, here or by another that was asked to ping it.
+    pub(super) fn is_heard(&mut self, now: Micros, member: u16) {
+        self.hearing.from(member, now);
+        // Suspected by somebody, and heard: it is told, and says otherwise to all.
+        match self.members[usize::from(member)].state {
+            State::Suspect => {
+                self.members[usize::from(member)].state = State::Alive;
+                self.effects.push(Effect::Changed(self.known(member)));
+                self.accuse(now, Change { state: State::Suspect, ..self.known(member) });
+            }
+            State::Dead => self.accuse(now, self.known(member)),
+            State::Alive | State::Left => {}
+        }
+    }
+
+    /// It was heard so lately that it can't have been silent for as long as a suspect has.
+    pub(super) fn hears(&self, member: u16, now: Micros) -> bool {
+        self.hearing.heard(member, now, self.suspicion() / 2)
+    }
+
+    /// Tells a member that others take it for gone, at most once in a period: only its own word settles that for all.
+    pub(super) fn accuse(&mut self, now: Micros, change: Change) {
+        if self.hearing.may_tell(change.member, now, self.terms.period) {
+            let (kind, from, incarnation) = (Kind::Ack, self.terms.me, self.incarnation);
+            let message = Message { kind, from, incarnation, sequence: 0, about: 0, changes: vec![change] };
+            self.effects.push(Effect::Send { to: change.member, message });
+        }
+    }
+}
--- a/crates/membership/src/wire.rs
+++ b/crates/membership/src/wire.rs
@@ -10,7 +10,7 @@
 //! | 4 | `incarnation` of the sender |
 //! | 2 | `sequence`, which an ack repeats |
 //! | 2 | `about`: for a ping-req the member to be pinged, else 0 |
-//! | 6 each | a change: member (2), incarnation (3, below 2^24), state (1: 0 alive, 1 suspect, 2 dead) |
+//! | 6 each | a change: member (2), incarnation (3, below 2^24), state (1: 0 alive, 1 suspect, 2 dead, 3 left) |
 
 use crate::serial::INCARNATIONS;
 
@@ -47,6 +47,8 @@
     Suspect,
     /// It is taken for dead until it comes back with a higher incarnation.
     Dead,
+    /// It has said that it goes, and is away until it comes back with a higher incarnation.
+    Left,
 }
 
 impl State {
@@ -56,8 +58,14 @@
             State::Alive => "alive",
             State::Suspect => "suspect",
             State::Dead => "dead",
+            State::Left => "left",
         }
     }
+
+    /// Whether it counts among those that are there: a suspect does, until its time is up.
+    pub fn there(self) -> bool {
+        self <= State::Suspect
+    }
 }
 
 /// One change of the view.
@@ -104,7 +112,7 @@
     #[error("field kind: {0} is none of 1, 2, 3")]
     Kind(u8),
     /// No such state, in the change of this position.
-    #[error("field state of change {0}: {1} is none of 0, 1, 2")]
+    #[error("field state of change {0}: {1} is none of 0, 1, 2, 3")]
     State(usize, u8),
     /// An incarnation of the sender that no member has.
     #[error("field incarnation: {0} is not below 2^24")]
@@ -189,6 +197,7 @@
                 0 => State::Alive,
                 1 => State::Suspect,
                 2 => State::Dead,
+                3 => State::Left,
                 other => return Err(WireError::State(at, other)),
             };
             let member = u16::from_be_bytes([c[0], c[1]]);
--- a/crates/state/src/lib.rs
+++ b/crates/state/src/lib.rs
@@ -11,7 +11,7 @@
 mod upkeep;
 
 pub use counts::{ClassCounts, Counts, Odd};
-pub use reducer::{reduce, Seen, State};
+pub use reducer::{reduce, Seen, State, Watched};
 pub use upkeep::{Upkeep, Wanted, WantedError};
 
 use api::{CallLost, JobId, JobSpec, Known, ListKind, LoadReport, Micros, Outcome, Settings, Status};
@@ -155,6 +155,8 @@
     },
     /// This process speaks for its dispatcher among all from now on, or does so no more. Of no effect with less than two.
     Member(Option<Joining>),
+    /// This process has been told to stop, and says so to the other dispatchers.
+    Leaving,
     /// This dispatcher takes part in maintenance from now on, with what another process of it kept, if there was any.
     Maintained(Option<Box<maintenance::Kept>>),
     /// The operators want a plan followed; with none, the one under way called off.
--- a/crates/state/src/reducer.rs
+++ b/crates/state/src/reducer.rs
@@ -77,7 +77,7 @@
     pub fn seen(&self) -> Seen {
         let status = self.decisions.status();
         let avoided = self.targets.out() + status.figures.avoided;
-        let members = self.members.as_ref().map(Swim::view);
+        let members = self.members.as_ref().map(|m| Watched::of(m, self.now));
         let (counts, listed, upkeep) = (self.counts.clone(), self.targets.listed(), self.shown_upkeep());
         Seen { counts, listed, avoided, status, members, upkeep }
     }
@@ -149,11 +149,30 @@
     /// ... and of these, those that are out by hand or get nothing for now.
     pub avoided: usize,
     /// What is believed of each dispatcher, by number, where they watch each other.
-    pub members: Option<Vec<membership::Change>>,
+    pub members: Option<Watched>,
     /// The plan of maintenance, where one is known.
     pub upkeep: Option<Upkeep>,
 }
 
+/// What is believed of the dispatchers.
+#[derive(Debug, Clone)]
+pub struct Watched {
+    /// Of each, by number: what it is believed to be, whether it was heard lately, and whether it hears this one.
+    pub members: Vec<(membership::Change, bool, bool)>,
+    /// The number of the view, the same at all that hold the same others for there.
+    pub view: u32,
+}
+
+impl Watched {
+    fn of(swim: &Swim, now: Micros) -> Self {
+        let shown = |change: Change| {
+            let (heard, by) = swim.heard(change.member, now);
+            (change, heard, by)
+        };
+        Watched { members: swim.view().into_iter().map(shown).collect(), view: swim.view_number() }
+    }
+}
+
 /// Takes one input at a time `now`, which never runs back, and returns what to do, in order.
 pub fn reduce(state: &mut State, now: Micros, input: Input) -> Vec<Effect> {
     state.now = now;
@@ -237,6 +256,10 @@
                 }
             }
             Input::Member(joining) => self.member(joining),
+            Input::Leaving => {
+                let effects = self.state.members.as_mut().map(|m| m.leave(self.now));
+                self.among(effects.unwrap_or_default());
+            }
             Input::Maintained(kept) => self.maintained(kept),
             Input::Planned(plan) => self.planned(plan),
             Input::Done(target) => self.done(&target),
@@ -321,7 +344,7 @@
             return;
         };
         let alive = |m: u16| match members.as_ref() {
-            Some(members) => members.state(m) != Some(membership::State::Dead),
+            Some(members) => members.state(m).is_some_and(membership::State::there),
             None => u32::from(m) == setup.me,
         };
         let in_flight = |mark| targets.marked(mark).is_some_and(|target| pool.carries(target));
@@ -446,6 +469,9 @@
                 membership::Effect::Changed(Change { member, incarnation, state }) => {
                     info!(member, state = state.word(), incarnation, "a dispatcher");
                 }
+                membership::Effect::HeardBy { member, heard } => {
+                    info!(member, heard, "whether a dispatcher hears this one");
+                }
             }
         }
     }
