--- /dev/null
+++ b/crates/council/src/lib.rs
@@ -0,0 +1,260 @@
+//! All that the dispatchers settle among themselves, behind one door: who of them is there (crate `membership`), and which
+//! targets are taken out for work, in which order (crate `maintenance`). Datagrams, times and operators' words go in; sends, rulings
+//! on targets and what is to be said in the log come out. Free of I/O, clock and randomness.
+
+use api::Micros;
+use maintenance::{Kept, Look, Maintenance, Plan, PlanError, Progress, Standing};
+use membership::{Change, Message, Swim, MOST_MEMBERS};
+
+/// What it asks for.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Effect {
+    /// Send this to that dispatcher.
+    Send {
+        /// Its number.
+        to: u32,
+        /// The datagram.
+        message: Vec<u8>,
+    },
+    /// Leave a target out, or take it back.
+    Rule {
+        /// The mark of its name.
+        mark: u32,
+        /// It is left out.
+        out: bool,
+    },
+    /// This process speaks for its dispatcher from now on.
+    Joined {
+        /// Its number.
+        me: u16,
+        /// How many there are.
+        members: u16,
+        /// Its incarnation.
+        incarnation: u32,
+    },
+    /// What is believed of another dispatcher has changed.
+    Changed(Change),
+    /// Whether another dispatcher hears this one has changed.
+    HeardBy {
+        /// Its number.
+        member: u16,
+        /// It does.
+        heard: bool,
+    },
+    /// How far a target of the plan is has changed.
+    Stands {
+        /// The mark of its name.
+        mark: u32,
+        /// How far it is.
+        standing: Standing,
+        /// Since its time was up.
+        forced: bool,
+    },
+    /// A plan can't be followed.
+    NotFollowed(PlanError),
+    /// A plan is called off, if there was one under way.
+    CalledOff(bool),
+    /// A datagram that can't be read, or in another's name.
+    Odd,
+}
+
+/// What the rest of the program knows of targets, by the marks of their names.
+pub trait Targets {
+    /// Whether an attempt is out there.
+    fn in_flight(&self, mark: u32) -> bool;
+    /// Whether it was started anew after this time.
+    fn restarted(&self, mark: u32, since: Micros) -> bool;
+}
+
+/// One dispatcher's part in it.
+#[derive(Debug)]
+pub struct Council {
+    me: u32,
+    dispatchers: u32,
+    seed: u64,
+    members: Option<Swim>,
+    upkeep: Option<Maintenance>,
+    /// What is to be kept for a successor has changed.
+    unkept: bool,
+}
+
+impl Council {
+    /// Of a dispatcher that takes part in nothing yet.
+    pub fn new(me: u32, dispatchers: u32, seed: u64) -> Self {
+        Council { me, dispatchers, seed, members: None, upkeep: None, unkept: false }
+    }
+
+    /// Whether the dispatchers watch each other: only then datagrams are for it.
+    pub fn watches(&self) -> bool {
+        self.members.is_some()
+    }
+
+    /// This process among the dispatchers, where they watch each other.
+    pub fn members(&self) -> Option<&Swim> {
+        self.members.as_ref()
+    }
+
+    /// Maintenance, where dispatchers settle it.
+    pub fn upkeep(&self) -> Option<&Maintenance> {
+        self.upkeep.as_ref()
+    }
+
+    /// How far the plan is, where one is known.
+    pub fn progress(&self, now: Micros) -> Option<Progress> {
+        self.upkeep.as_ref()?.progress(now)
+    }
+
+    /// What maintenance leaves to a successor; none without a plan.
+    pub fn kept(&self) -> Option<Kept> {
+        self.upkeep.as_ref().and_then(Maintenance::kept)
+    }
+
+    /// Whether that has changed since the last call: it is to be kept before anybody else is told.
+    pub fn take_unkept(&mut self) -> bool {
+        std::mem::take(&mut self.unkept)
+    }
+
+    /// When [`Council::tick`] is wanted next.
+    pub fn wake_at(&self) -> Option<Micros> {
+        let members = self.members.as_ref().map(Swim::wake_at);
+        let upkeep = self.upkeep.as_ref().and_then(Maintenance::wake_at);
+        members.into_iter().chain(upkeep).min()
+    }
+
+    /// A time of [`Council::wake_at`] has come, or another.
+    pub fn tick(&mut self, now: Micros, targets: &dyn Targets) -> Vec<Effect> {
+        let due = self.members.as_mut().filter(|m| m.wake_at() <= now);
+        let found = due.map_or(vec![], |members| members.tick(now));
+        self.tick_upkeep(now, targets, found.into_iter().filter_map(among).collect())
+    }
+
+    fn look(&mut self, now: Micros, targets: &dyn Targets, effects: &mut Vec<Effect>) {
+        let Council { upkeep: Some(upkeep), members, me, .. } = self else { return };
+        let alive = |m: u16| match members.as_ref() {
+            Some(members) => !members.away(m, now),
+            None => u32::from(m) == *me,
+        };
+        let in_flight = |mark| targets.in_flight(mark);
+        let restarted = |mark, since| targets.restarted(mark, since);
+        let found = upkeep.tick(now, &Look { alive: &alive, in_flight: &in_flight, restarted: &restarted });
+        self.maintain(found, effects);
+    }
+
+    /// A datagram of that dispatcher has come. Whoever sends in another's name is none of them.
+    pub fn take(&mut self, now: Micros, from: u32, message: &[u8]) -> Vec<Effect> {
+        let mut effects = vec![];
+        if message.first() == Some(&maintenance::FIRST_BYTE) {
+            let said = maintenance::Message::decode(message).ok().filter(|m| u32::from(m.from()) == from);
+            match (said, &mut self.upkeep) {
+                (Some(said), Some(upkeep)) => {
+                    let before = upkeep.kept();
+                    let found = upkeep.take(now, &said);
+                    self.unkept |= before != upkeep.kept();
+                    self.maintain(found, &mut effects);
+                }
+                (None, _) => effects.push(Effect::Odd),
+                (_, None) => {}
+            }
+            return effects;
+        }
+        let said = Message::decode(message).ok().filter(|m| u32::from(m.from) == from);
+        match (said, &mut self.members) {
+            (Some(said), Some(members)) => {
+                effects.extend(members.take(now, &said).into_iter().filter_map(among))
+            }
+            _ => effects.push(Effect::Odd),
+        }
+        effects
+    }
+
+    /// This process speaks for its dispatcher from now on, with one ping in each period; with none, it does so no more. Of
+    /// no effect with less than two.
+    pub fn join(&mut self, now: Micros, joining: Option<(Micros, u32)>) -> Vec<Effect> {
+        self.members = None;
+        let (me, members) = (u16::try_from(self.me), u16::try_from(self.dispatchers));
+        let (Some((period, incarnation)), Ok(me), Ok(members @ 2..=MOST_MEMBERS)) = (joining, me, members)
+        else {
+            return vec![];
+        };
+        let terms = membership::Terms { me, members, period, incarnation, seed: self.seed };
+        self.members = Some(Swim::new(terms, now));
+        vec![Effect::Joined { me, members, incarnation }]
+    }
+
+    /// This process has been told to stop, and says so to the others.
+    pub fn leave(&mut self, now: Micros) -> Vec<Effect> {
+        let effects = self.members.as_mut().map(|members| members.leave(now));
+        effects.unwrap_or_default().into_iter().filter_map(among).collect()
+    }
+
+    /// This dispatcher takes part in maintenance from now on, with what another process of it kept, if there was any.
+    pub fn maintains(&mut self, now: Micros, kept: Option<Kept>) -> Vec<Effect> {
+        let mut effects = vec![];
+        if self.upkeep.is_none() {
+            let (Ok(me), Ok(members)) = (u16::try_from(self.me), u16::try_from(self.dispatchers)) else {
+                return effects;
+            };
+            self.upkeep = Some(Maintenance::new(me, members));
+        }
+        if let (Some(kept), Some(upkeep)) = (kept, &mut self.upkeep) {
+            let found = upkeep.restore(now, kept);
+            self.maintain(found, &mut effects);
+        }
+        effects
+    }
+
+    /// The operators want a plan followed; with none, the one under way called off.
+    pub fn plan(&mut self, now: Micros, plan: Option<Plan>, targets: &dyn Targets) -> Vec<Effect> {
+        let mut effects = vec![];
+        let Some(upkeep) = &mut self.upkeep else { return effects };
+        match plan {
+            Some(plan) => {
+                let id = plan.id;
+                effects.extend(upkeep.submit(now, plan, id).err().map(Effect::NotFollowed));
+            }
+            None => effects.push(Effect::CalledOff(upkeep.cancel(now))),
+        }
+        self.unkept = true;
+        self.tick_upkeep(now, targets, effects)
+    }
+
+    /// The operators' work on a target that is out by the plan is done.
+    pub fn done(&mut self, now: Micros, mark: u32, targets: &dyn Targets) -> Vec<Effect> {
+        let mut effects = vec![];
+        let Some(upkeep) = &mut self.upkeep else { return effects };
+        upkeep.done(now, mark);
+        let found = upkeep.effects();
+        self.maintain(found, &mut effects);
+        self.tick_upkeep(now, targets, effects)
+    }
+
+    fn tick_upkeep(&mut self, now: Micros, targets: &dyn Targets, mut effects: Vec<Effect>) -> Vec<Effect> {
+        if self.upkeep.as_ref().and_then(Maintenance::wake_at).is_some_and(|at| at <= now) {
+            self.look(now, targets, &mut effects);
+        }
+        effects
+    }
+
+    fn maintain(&mut self, found: Vec<maintenance::Effect>, effects: &mut Vec<Effect>) {
+        effects.extend(found.into_iter().map(|effect| match effect {
+            maintenance::Effect::Send { to, message } => {
+                Effect::Send { to: u32::from(to), message: message.encode() }
+            }
+            maintenance::Effect::Ban { mark, out } => Effect::Rule { mark, out },
+            maintenance::Effect::Stands { mark, standing, forced } => {
+                self.unkept = true;
+                Effect::Stands { mark, standing, forced }
+            }
+        }));
+    }
+}
+
+fn among(effect: membership::Effect) -> Option<Effect> {
+    Some(match effect {
+        membership::Effect::Send { to, message } => {
+            Effect::Send { to: u32::from(to), message: message.encode().ok()? }
+        }
+        membership::Effect::Changed(change) => Effect::Changed(change),
+        membership::Effect::HeardBy { member, heard } => Effect::HeardBy { member, heard },
+    })
+}
--- a/crates/membership/src/swim/evidence.rs
+++ b/crates/membership/src/swim/evidence.rs
@@ -3,6 +3,15 @@
 use super::*;
 
 impl Swim {
+    /// Whether a member is dead, or has left so long ago that its process has ended: one that was told to stop answers what it
+    /// has taken first, and is waited for meanwhile.
+    pub fn away(&self, member: u16, now: Micros) -> bool {
+        match self.state(member) {
+            Some(State::Left) => self.members.get(usize::from(member)).is_none_or(|m| m.until <= now),
+            state => !state.is_some_and(State::there),
+        }
+    }
+
     /// The number of the view: the same at all members that hold the same others for there.
     pub fn view_number(&self) -> u32 {
         let mixed = self.alive().fold(0, |sum: u64, m| sum.wrapping_add(mix(0x51e7, u64::from(m) + 1)));
--- a/crates/membership/tests/swim.rs
+++ b/crates/membership/tests/swim.rs
@@ -39,6 +39,36 @@
     assert_eq!(me.state(3), Some(State::Alive), "a later one");
 }
 
+/// A member whose datagrams come is there, whatever a third says; it is told, and once it has said otherwise all know.
+#[test]
+fn who_is_heard_is_not_taken_for_dead_on_the_word_of_another() {
+    let mut me = swim(4);
+    me.take(1, &said(1, 3, vec![]));
+    let effects = me.take(2, &said(2, 1, vec![change(1, 3, State::Suspect)]));
+    assert_eq!(me.state(1), Some(State::Alive));
+    let accused = |e: &Effect| matches!(e, Effect::Send { to: 1, message } if message.changes == [change(1, 3, State::Suspect)]);
+    assert!(effects.iter().any(accused), "it is told: {effects:?}");
+    let late = 60 * PERIOD;
+    me.take(late, &said(2, 1, vec![change(1, 3, State::Dead)]));
+    assert_eq!(me.state(1), Some(State::Dead), "it has not been heard for long");
+}
+
+/// One that leaves is waited for by whoever must know that its jobs have ended, and is suspected by nobody.
+#[test]
+fn who_leaves_is_gone_at_once_and_away_once_its_process_has_had_its_time() {
+    let mut me = swim(4);
+    me.take(1, &said(1, 3, vec![change(1, 3, State::Left)]));
+    assert_eq!((me.state(1), me.away(1, 2)), (Some(State::Left), false));
+    assert!(me.away(1, 3 + me.suspicion()) && !me.away(2, 3 + me.suspicion()));
+    me.take(3, &said(2, 1, vec![change(1, 3, State::Suspect)]));
+    assert_eq!(me.state(1), Some(State::Left), "no suspicion follows");
+    me.take(4, &said(1, 4, vec![]));
+    assert_eq!(me.state(1), Some(State::Alive), "its next process");
+    let told = me.leave(5);
+    assert_eq!(told.len(), 4, "all of four others");
+    assert!(me.leave(6).is_empty() && me.tick(60 * PERIOD).is_empty(), "and nothing more");
+}
+
 #[derive(Debug, Clone)]
 enum Step {
     Time(u64),
--- a/crates/state/src/reducer.rs
+++ b/crates/state/src/reducer.rs
@@ -12,9 +12,9 @@
     WorkerId,
 };
 use bytes::Bytes;
+use council::{Council, Targets};
 use levels::{Governed, Status};
-use maintenance::{Look, Maintenance};
-use membership::{Change, Message, Swim, MOST_MEMBERS};
+use membership::{Change, Swim};
 use std::collections::{BTreeSet, VecDeque};
 use tracing::{debug, info};
 
@@ -32,12 +32,8 @@
     counts: Counts,
     /// When the program ends, and every flow that is open by then is answered.
     ends: Option<Micros>,
-    /// This process among the dispatchers, where they watch each other.
-    members: Option<Swim>,
-    /// Maintenance, where dispatchers settle it.
-    pub(super) upkeep: Option<Maintenance>,
-    /// It stands otherwise than any successor has been told.
-    unkept: bool,
+    /// What the dispatchers settle among themselves.
+    pub(super) council: Council,
     /// The time of the last input.
     now: Micros,
     /// Every time that the decisions have asked for: they ask for none twice, so none may be dropped.
@@ -55,29 +51,16 @@
         let decisions = Governed::new(setup.settings.clone(), setup.seed, setup.levels.clone())?;
         let (flows, targets, pool) = (Default::default(), Default::default(), Pool::new(setup.idle));
         let counts = Counts::new(setup.settings.classes.len());
-        let (wakes, actions, ends, members, upkeep, unkept, now) = Default::default();
-        Ok(State {
-            setup,
-            decisions,
-            flows,
-            targets,
-            pool,
-            counts,
-            ends,
-            members,
-            upkeep,
-            unkept,
-            now,
-            wakes,
-            actions,
-        })
+        let council = Council::new(setup.me, setup.settings.dispatchers, setup.seed);
+        let (wakes, actions, ends, now) = Default::default();
+        Ok(State { setup, decisions, flows, targets, pool, counts, ends, council, now, wakes, actions })
     }
 
     /// What can be seen from outside.
     pub fn seen(&self) -> Seen {
         let status = self.decisions.status();
         let avoided = self.targets.out() + status.figures.avoided;
-        let members = self.members.as_ref().map(|m| Watched::of(m, self.now));
+        let members = self.council.members().map(|m| Watched::of(m, self.now));
         let (counts, listed, upkeep) = (self.counts.clone(), self.targets.listed(), self.shown_upkeep());
         Seen { counts, listed, avoided, status, members, upkeep }
     }
@@ -112,9 +95,8 @@
 
     /// When an [`Input::Tick`] is wanted next.
     pub fn wake_at(&self) -> Option<Micros> {
-        let members = self.members.as_ref().map(Swim::wake_at);
-        let upkeep = self.upkeep.as_ref().and_then(Maintenance::wake_at);
-        [self.wakes.first().copied(), self.pool.next_deadline(), members, upkeep].into_iter().flatten().min()
+        let council = self.council.wake_at();
+        [self.wakes.first().copied(), self.pool.next_deadline(), council].into_iter().flatten().min()
     }
 
     pub(super) fn targets(&self) -> &TargetGroup {
@@ -128,12 +110,12 @@
 
     /// What maintenance leaves to a successor; none without a plan.
     pub fn kept_upkeep(&self) -> Option<maintenance::Kept> {
-        self.upkeep.as_ref().and_then(Maintenance::kept)
+        self.council.kept()
     }
 
     /// Whether that has changed since the last call: it is to be kept before anybody else is told.
     pub fn take_unkept(&mut self) -> bool {
-        std::mem::take(&mut self.unkept)
+        self.council.take_unkept()
     }
 }
 
@@ -183,6 +165,22 @@
     turn.effects
 }
 
+/// What is known here of targets.
+struct Here<'a> {
+    targets: &'a TargetGroup,
+    pool: &'a Pool,
+}
+
+impl Targets for Here<'_> {
+    fn in_flight(&self, mark: u32) -> bool {
+        self.targets.marked(mark).is_some_and(|target| self.pool.carries(target))
+    }
+
+    fn restarted(&self, mark: u32, since: Micros) -> bool {
+        self.targets.started_after(mark, since)
+    }
+}
+
 /// One call of the reducer: events for the decisions are queued, so that none is delivered amid another.
 struct Turn<'a> {
     state: &'a mut State,
@@ -244,25 +242,37 @@
                 if from == self.state.setup.me || from >= self.state.setup.settings.dispatchers {
                     return;
                 }
-                if !message.len().is_multiple_of(told::ENTRY_BYTES) && self.state.members.is_some() {
-                    match message.first() {
-                        Some(&maintenance::FIRST_BYTE) => self.upkeep_says(from, &message),
-                        _ => self.member_says(from, &message),
-                    }
+                if !message.len().is_multiple_of(told::ENTRY_BYTES) && self.state.council.watches() {
+                    let effects = self.state.council.take(self.now, from, &message);
+                    self.settled(effects);
                 } else {
                     let known = |(mark, slots)| Some((self.state.targets.marked(mark)?, slots));
                     let held = told::entries(&message).filter_map(known).collect();
                     self.events.push_back(Event::Told { from, held });
                 }
             }
-            Input::Member(joining) => self.member(joining),
+            Input::Member(joining) => {
+                let joining = joining.map(|Joining { period, incarnation }| (period, incarnation));
+                let effects = self.state.council.join(self.now, joining);
+                self.settled(effects);
+            }
             Input::Leaving => {
-                let effects = self.state.members.as_mut().map(|m| m.leave(self.now));
-                self.among(effects.unwrap_or_default());
+                let effects = self.state.council.leave(self.now);
+                self.settled(effects);
+            }
+            Input::Maintained(kept) => {
+                let effects = self.state.council.maintains(self.now, kept.map(|kept| *kept));
+                self.settled(effects);
+            }
+            Input::Planned(plan) => {
+                if let Some(plan) = plan.as_ref().filter(|_| self.state.council.upkeep().is_some()) {
+                    info!(id = plan.id, targets = plan.targets.len(), "a plan of maintenance is followed");
+                }
+                self.asks(|council, now, known| council.plan(now, plan.map(|plan| *plan), known));
+            }
+            Input::Done(target) => {
+                self.asks(|council, now, known| council.done(now, told::mark(&target), known));
             }
-            Input::Maintained(kept) => self.maintained(kept),
-            Input::Planned(plan) => self.planned(plan),
-            Input::Done(target) => self.done(&target),
             Input::Odd(what, times) => self.state.counts.was_odd(what, times),
             Input::Used(usage) => self.state.decisions.used(usage),
             Input::Levels(spec) => {
@@ -329,96 +339,42 @@
             self.time_up(conn);
             self.settle();
         }
-        if let Some(members) = self.state.members.as_mut().filter(|m| m.wake_at() <= self.now) {
-            let effects = members.tick(self.now);
-            self.among(effects);
+        if self.state.council.wake_at().is_some_and(|at| at <= self.now) {
+            self.asks(|council, now, known| council.tick(now, known));
         }
-        self.run_upkeep();
     }
 
-    fn run_upkeep(&mut self) {
-        if self.state.upkeep.as_ref().and_then(Maintenance::wake_at).is_none_or(|at| at > self.now) {
-            return;
-        }
-        let State { upkeep: Some(upkeep), members, targets, pool, setup, .. } = &mut *self.state else {
-            return;
-        };
-        let alive = |m: u16| match members.as_ref() {
-            Some(members) => members.state(m).is_some_and(membership::State::there),
-            None => u32::from(m) == setup.me,
-        };
-        let in_flight = |mark| targets.marked(mark).is_some_and(|target| pool.carries(target));
-        let restarted = |mark, since| targets.started_after(mark, since);
-        let look = Look { alive: &alive, in_flight: &in_flight, restarted: &restarted };
-        let effects = upkeep.tick(self.now, &look);
-        self.maintain(effects);
-    }
-
-    fn maintained(&mut self, kept: Option<Box<maintenance::Kept>>) {
-        let (me, members) = (self.state.setup.me, self.state.setup.settings.dispatchers);
-        if self.state.upkeep.is_none() {
-            let (Ok(me), Ok(members)) = (u16::try_from(me), u16::try_from(members)) else { return };
-            self.state.upkeep = Some(Maintenance::new(me, members));
-        }
-        if let (Some(kept), Some(upkeep)) = (kept, &mut self.state.upkeep) {
-            let effects = upkeep.restore(self.now, *kept);
-            self.maintain(effects);
-        }
-    }
-
-    fn planned(&mut self, plan: Option<Box<maintenance::Plan>>) {
-        let Some(upkeep) = &mut self.state.upkeep else { return };
-        match plan {
-            Some(plan) => {
-                let id = plan.id;
-                info!(id, targets = plan.targets.len(), "a plan of maintenance is followed");
-                if let Err(e) = upkeep.submit(self.now, *plan, id) {
-                    info!("a plan of maintenance can't be followed: {e}");
-                }
-            }
-            None => {
-                let called_off = upkeep.cancel(self.now);
-                info!(called_off, "a plan of maintenance is called off");
-            }
-        }
-        self.state.unkept = true;
-        self.run_upkeep();
-    }
-
-    fn done(&mut self, target: &str) {
-        let Some(upkeep) = &mut self.state.upkeep else { return };
-        upkeep.done(self.now, told::mark(target));
-        let effects = upkeep.effects();
-        self.maintain(effects);
-        self.run_upkeep();
-    }
-
-    fn upkeep_says(&mut self, from: u32, message: &[u8]) {
-        let said = maintenance::Message::decode(message).ok().filter(|m| u32::from(m.from()) == from);
-        match (said, &mut self.state.upkeep) {
-            (Some(said), Some(upkeep)) => {
-                let before = upkeep.kept();
-                let effects = upkeep.take(self.now, &said);
-                self.state.unkept |= before != upkeep.kept();
-                self.maintain(effects);
-            }
-            (None, _) => self.state.counts.was_odd(Odd::CutDatagram, 1),
-            (_, None) => {}
-        }
+    /// Asks the council, which may look at what is known of targets, and does what comes of it.
+    fn asks(&mut self, ask: impl FnOnce(&mut Council, Micros, &dyn Targets) -> Vec<council::Effect>) {
+        let State { council, targets, pool, .. } = &mut *self.state;
+        let effects = ask(council, self.now, &Here { targets, pool });
+        self.settled(effects);
     }
 
-    fn maintain(&mut self, effects: Vec<maintenance::Effect>) {
+    /// What the dispatchers have settled.
+    fn settled(&mut self, effects: Vec<council::Effect>) {
         for effect in effects {
             match effect {
-                maintenance::Effect::Send { to, message } => {
-                    self.effects.push(Effect::TellOne { to: u32::from(to), message: message.encode() });
+                council::Effect::Send { to, message } => self.effects.push(Effect::TellOne { to, message }),
+                council::Effect::Rule { mark, out } => self.ban(mark, out),
+                council::Effect::Joined { me, members, incarnation } => {
+                    info!(me, members, incarnation, "joined the dispatchers");
                 }
-                maintenance::Effect::Ban { mark, out } => self.ban(mark, out),
-                maintenance::Effect::Stands { mark, standing, forced } => {
-                    self.state.unkept = true;
+                council::Effect::Changed(Change { member, incarnation, state }) => {
+                    info!(member, state = state.word(), incarnation, "a dispatcher");
+                }
+                council::Effect::HeardBy { member, heard } => {
+                    info!(member, heard, "whether a dispatcher hears this one");
+                }
+                council::Effect::Stands { mark, standing, forced } => {
                     let target = self.state.targets.named_by(mark).unwrap_or("unknown");
                     info!(target, ?standing, forced, "maintenance");
                 }
+                council::Effect::NotFollowed(e) => info!("a plan of maintenance can't be followed: {e}"),
+                council::Effect::CalledOff(called_off) => {
+                    info!(called_off, "a plan of maintenance is called off");
+                }
+                council::Effect::Odd => self.state.counts.was_odd(Odd::CutDatagram, 1),
             }
         }
     }
@@ -433,49 +389,6 @@
         self.settle();
     }
 
-    fn member(&mut self, joining: Option<Joining>) {
-        let setup = &self.state.setup;
-        let (me, members) = (u16::try_from(setup.me), u16::try_from(setup.settings.dispatchers));
-        self.state.members = match (joining, me, members) {
-            (Some(Joining { period, incarnation }), Ok(me), Ok(members @ 2..=MOST_MEMBERS)) => {
-                info!(me, members, incarnation, "joined the dispatchers");
-                let seed = setup.seed;
-                Some(Swim::new(membership::Terms { me, members, period, incarnation, seed }, self.now))
-            }
-            _ => None,
-        };
-    }
-
-    fn member_says(&mut self, from: u32, message: &[u8]) {
-        // Whoever sends in another's name is none of them.
-        let said = Message::decode(message).ok().filter(|m| u32::from(m.from) == from);
-        match (said, &mut self.state.members) {
-            (Some(said), Some(members)) => {
-                let effects = members.take(self.now, &said);
-                self.among(effects);
-            }
-            _ => self.state.counts.was_odd(Odd::CutDatagram, 1),
-        }
-    }
-
-    fn among(&mut self, effects: Vec<membership::Effect>) {
-        for effect in effects {
-            match effect {
-                membership::Effect::Send { to, message } => {
-                    if let Ok(message) = message.encode() {
-                        self.effects.push(Effect::TellOne { to: u32::from(to), message });
-                    }
-                }
-                membership::Effect::Changed(Change { member, incarnation, state }) => {
-                    info!(member, state = state.word(), incarnation, "a dispatcher");
-                }
-                membership::Effect::HeardBy { member, heard } => {
-                    info!(member, heard, "whether a dispatcher hears this one");
-                }
-            }
-        }
-    }
-
     fn act(&mut self, action: Action) {
         match action {
             Action::Push { job, worker } => self.push(job, worker),
--- a/crates/state/src/upkeep.rs
+++ b/crates/state/src/upkeep.rs
@@ -63,7 +63,7 @@
 
 impl State {
     pub(super) fn shown_upkeep(&self) -> Option<Upkeep> {
-        let progress = self.upkeep.as_ref()?.progress(self.upkeep_now())?;
+        let progress = self.council.upkeep()?.progress(self.upkeep_now())?;
         let name = |t: &Target| self.targets().named_by(t.mark).unwrap_or_default().to_owned();
         Some(Upkeep { names: progress.plan.targets.iter().map(name).collect(), progress })
     }
@@ -73,7 +73,7 @@
     /// # Errors
     /// Why it is refused.
     pub fn plan(&self, wanted: &Wanted) -> Result<Plan, WantedError> {
-        let upkeep = self.upkeep.as_ref().ok_or(WantedError::Off)?;
+        let upkeep = self.council.upkeep().ok_or(WantedError::Off)?;
         if let Some(kept) = upkeep.kept().filter(|_| upkeep.active()) {
             return Err(WantedError::UnderWay { id: kept.plan.id, by: kept.plan.by });
         }
@@ -114,14 +114,14 @@
 
     /// Whether a plan is under way.
     pub fn plans(&self) -> bool {
-        self.upkeep.as_ref().is_some_and(maintenance::Maintenance::active)
+        self.council.upkeep().is_some_and(maintenance::Maintenance::active)
     }
 
     /// Whether this target is out by a plan, so that work on it can be done.
     pub fn out_by_plan(&self, target: &str) -> bool {
         let mark = told::mark(target);
         let standing = |p: Progress| p.targets.into_iter().find(|t| t.mark == mark).map(|t| t.standing);
-        let upkeep = self.upkeep.as_ref().and_then(|u| u.progress(self.upkeep_now()));
+        let upkeep = self.council.upkeep().and_then(|u| u.progress(self.upkeep_now()));
         matches!(upkeep.and_then(standing), Some(Standing::Out | Standing::Empty))
     }
 }
