Look for ways through others in the model only where single ways are closed

The model's test of a partition took over a minute in debug: each change looked for a way through each of a hundred others between members of two halves, where there is none. Change: it looks only where single ways are closed.

--- a/crates/lab/src/members.rs
+++ b/crates/lab/src/members.rs
@@ -292,7 +292,8 @@
     /// ... directly, or through one other that runs.
     fn way(&self, from: u16, to: u16) -> bool {
         let through = |x| self.processes[usize::from(x)].runs && self.reach(from, x) && self.reach(x, to);
-        self.reach(from, to) || (0..self.terms.members).any(through)
+        // A partition leaves no way through others.
+        self.reach(from, to) || !self.cut.is_empty() && (0..self.terms.members).any(through)
     }
 
     fn carry_out(&mut self, me: u16, effects: Vec<Effect>) {
