Look last at client, target, time and window where an attempt is released to the socket

Review of every ending for what is still owed. Three faults, each seen in a test on the program or the reducer as it was:

- A client that sends more behind its request and goes was waited for up to its deadline: hyper looks for the end of a busy connection only while it holds no bytes (mid_message_detect_eof).
The socket is now read ahead while the answer is made, 64 KiB kept and 256 KiB passed over at most (http1/client.rs).
A flow is not taken if its client has gone by then, and an order is not written if it has gone since.
- An answer that names no request (503 with Srv-Declined) and came twice was taken for the answer to the next request on that connection: a settle that ran was thought turned away and sent again (three requests at the target instead of two).
Such a connection now rests 100 ms, in which a second answer ends it.
Probes don't rest: no job can take their answer for 'never ran'.
- A repeat whose connection came up late was written after its window had closed: repeat_ok was asked when it was chosen, up to connect-timeout earlier.
The decisions are asked again when the connection is up (may_start), deadline included.

Ruled out: further signals amid stopping, requests in the instant of the close (60 resting connections over 2.0 to 2.3 s), half a request at SIGTERM, idle clients at the system's limit of descriptors while discovery is down: kept before, now forced by tests.

--- a/crates/decide/src/repeating.rs
+++ b/crates/decide/src/repeating.rs
@@ -8,8 +8,13 @@
     }
 
     pub(crate) fn exposed(&self, rules: &Rules) -> Option<&Attempt> {
+        self.exposed_by(rules, self.attempts.len())
+    }
+
+    /// The first of so many attempts that may have run.
+    fn exposed_by(&self, rules: &Rules, attempts: usize) -> Option<&Attempt> {
         let unrun = |o: Outcome| o.proves_unrun() && !(rules.refusal_inconclusive && o == Outcome::Full);
-        self.attempts.iter().find(|a| a.outcome.is_none_or(|o| !unrun(o)))
+        self.attempts.iter().take(attempts).find(|a| a.outcome.is_none_or(|o| !unrun(o)))
     }
 }
 
@@ -55,9 +60,25 @@
         open && fits() && self.repeat_ok(job, Some(worker)) && self.cold_ok(job, w)
     }
 
+    /// The attempt that was asked for last can be sent now: what held when it was, may hold no more once its connection
+    /// is up. It is the last look before the socket.
+    pub fn may_start(&mut self, now: Micros, id: JobId, worker: WorkerId) -> bool {
+        self.now = self.now.max(now);
+        let Some(job) = self.jobs.get(&id).filter(|j| !j.over && self.now < j.spec.expires) else {
+            return false;
+        };
+        let before = job.attempts.len().saturating_sub(1);
+        self.workers.get(&worker).is_some_and(Worker::ready) && self.repeat_after(job, before, Some(worker))
+    }
+
     /// What may have run is repeated only as its class allows; with no worker named: anywhere at all.
     pub(crate) fn repeat_ok(&self, job: &Job, worker: Option<WorkerId>) -> bool {
-        match (job.exposed(&self.settings.rules), self.settings.classes[job.spec.class].idempotency) {
+        self.repeat_after(job, job.attempts.len(), worker)
+    }
+
+    fn repeat_after(&self, job: &Job, attempts: usize, worker: Option<WorkerId>) -> bool {
+        let exposed = job.exposed_by(&self.settings.rules, attempts);
+        match (exposed, self.settings.classes[job.spec.class].idempotency) {
             (None, _) | (_, Idempotency::Safe) => true,
             (Some(_), Idempotency::Unsafe) => false,
             (Some(first), Idempotency::Keyed { scope, memory }) => {
--- a/crates/desk/src/lib.rs
+++ b/crates/desk/src/lib.rs
@@ -89,6 +89,8 @@
 pub enum Order {
     /// Send a job.
     Job {
+        /// Its flow.
+        flow: JobId,
         /// The job.
         passed: Rc<Passed>,
         /// How long this dispatcher will wait.
@@ -128,6 +130,11 @@
 }
 
 impl Reports {
+    /// The next one, for whoever feeds the reducer; none once nobody can report any more.
+    pub async fn next(&mut self) -> Option<Input> {
+        self.inputs.recv().await
+    }
+
     /// What operators look through, for as long as the loop runs. To be called once at most: without it nothing is
     /// laid out.
     pub fn window(&mut self, state: &State, desk: &Desk) -> Window {
@@ -226,6 +233,12 @@
         self.waiting.borrow().len()
     }
 
+    /// Whether a client still waits for this flow's answer. It is known here first: the reducer hears of a client that has
+    /// left with its next input, and what it has ordered before is not to go out any more.
+    pub fn waits(&self, flow: JobId) -> bool {
+        self.waiting.borrow().contains_key(&flow)
+    }
+
     /// Takes a flow, numbers it, and hands it to the decisions.
     pub fn take(self: &Rc<Self>, mut spec: JobSpec, passed: Passed) -> Flow {
         let id = JobId(self.flows.get());
@@ -329,7 +342,7 @@
                     // Without its request the connection is given up: its end is an outcome of the attempt.
                     match (conns.get(&conn), desk.passed(flow)) {
                         (Some(orders), Some(passed)) => {
-                            let _ = orders.send(Order::Job { passed, wait });
+                            let _ = orders.send(Order::Job { flow, passed, wait });
                         }
                         _ => drop(conns.remove(&conn)),
                     }
--- /dev/null
+++ b/crates/fordrelay/tests/crossings.rs
@@ -0,0 +1,324 @@
+//! Endings that cross something still owed, on the whole program: clients that go, answers that come twice, the instant in
+//! which a connection or the process ends. `docs/endings.md` has the states these force.
+
+mod common;
+
+use common::*;
+use rstest::rstest;
+use std::io::{BufReader, Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::mpsc::{channel, Receiver};
+use std::sync::{Arc, Mutex};
+use std::thread;
+use std::time::{Duration, Instant};
+
+/// Longer than anything that is waited for here; it is reached only where a test fails.
+const NEVER: Duration = Duration::from_secs(10);
+
+fn with_id(class: &str, id: &str) -> String {
+    job(class).replace("9b1f", id)
+}
+
+/// The ids of the jobs that a target has seen.
+fn ids(target: &Receiver<(usize, Option<Message>)>) -> Vec<String> {
+    let seen = target.try_iter().filter_map(|(_, message)| message);
+    seen.filter_map(|m| m.header("req-id").map(str::to_owned)).collect()
+}
+
+/// A client that sends more behind its request and goes: hyper reads no end behind bytes that it holds, and the job went on
+/// for nobody, up to its deadline.
+#[rstest]
+#[case::a_byte(1)]
+#[case::as_much_as_a_request(8 * 1024)]
+#[case::more_than_is_kept(200 * 1024)]
+fn a_client_that_sends_more_behind_its_request_and_goes_has_gone(#[case] more: usize) {
+    let target = peer(|m| Some(lines(m, &[STARTED]).replace("0\r\n\r\n", "")));
+    let (program, _calls) = with_target(&target);
+    let mut client = program.connect();
+    client.get_mut().set_write_timeout(Some(NEVER)).unwrap();
+    client.get_mut().write_all(job("watch").as_bytes()).unwrap();
+    assert!(target.seen.recv().unwrap().1.is_some());
+    client.get_mut().write_all(&vec![b'x'; more]).unwrap();
+    drop(client);
+    let ended = target.seen.recv_timeout(NEVER).expect("the connection to the target is closed").1;
+    assert!(ended.is_none());
+}
+
+/// What is sent behind a request is answered after it, as far as it is kept; a client that does not wait has more bytes under
+/// way when its answer comes, and gets that answer whole all the same.
+#[rstest]
+#[case::one_more_request(1, 2)]
+#[case::more_than_is_kept(4_000, 1)]
+fn an_answer_arrives_whole_whatever_was_sent_behind_its_request(#[case] more: usize, #[case] answers: usize) {
+    let (release, gate) = channel::<()>();
+    let gate = Arc::new(Mutex::new(gate));
+    let target = peer(move |m| {
+        let _ = gate.lock().unwrap().recv();
+        Some(lines(m, &[STARTED, DONE]))
+    });
+    let (program, _calls) = with_target(&target);
+    let mut client = program.connect();
+    client.get_mut().write_all(with_id("watch", "first").as_bytes()).unwrap();
+    assert!(target.seen.recv().unwrap().1.is_some());
+    let mut behind = client.get_ref().try_clone().unwrap();
+    let writes = thread::spawn(move || {
+        for n in 0..more {
+            if behind.write_all(with_id("watch", &format!("behind-{n}")).as_bytes()).is_err() {
+                break;
+            }
+        }
+    });
+    if answers == 1 {
+        thread::sleep(Duration::from_millis(300));
+    } else {
+        writes.join().unwrap();
+    }
+    drop(release);
+    for _ in 0..answers {
+        assert_eq!(read(&mut client).expect("an answer").body, "rün".as_bytes());
+    }
+    assert_eq!(program.ask("watch").status(), "200");
+}
+
+/// A client may have come, asked and gone before anybody has read a byte: behind a crowd, or while the process stood still.
+#[test]
+fn a_request_whose_client_has_gone_before_it_is_read_goes_to_nobody() {
+    let target = serving();
+    let (program, _calls) = with_target(&target);
+    assert_eq!(program.ask("watch").status(), "200");
+    ids(&target.seen);
+    program.signal("STOP");
+    for n in 0..20 {
+        let mut client = program.connect();
+        client.get_mut().write_all(with_id("settle", &format!("gone-{n}")).as_bytes()).unwrap();
+    }
+    program.signal("CONT");
+    assert_eq!(program.ask("watch").status(), "200");
+    assert_eq!(ids(&target.seen), ["9b1f"]);
+    // All of them are closed and counted.
+    while !program.call("GET", "/-/metrics").1.contains("\nsvc_active 0\n") {}
+}
+
+/// A job that is held has a client, too: one that goes while nothing can take its job ends it at once.
+#[test]
+fn a_client_that_goes_while_its_request_is_held_is_sent_on_for_no_more() {
+    let target = serving();
+    let (addr, calls) = {
+        let (sender, answers) = channel::<String>();
+        let answers = Arc::new(Mutex::new(answers));
+        let discovery = peer(move |_| answers.lock().unwrap().recv().ok());
+        ((discovery.addr, sender), discovery.seen)
+    };
+    let (addr, list_it) = addr;
+    let program = Program::start(&list(1, true, &[]), addr, 1_024);
+    assert!(calls.recv().unwrap().1.is_some());
+    let mut stays = program.connect();
+    stays.get_mut().write_all(with_id("settle", "stays").as_bytes()).unwrap();
+    let clients: Vec<_> = (0..10)
+        .map(|n| {
+            let mut client = program.connect();
+            client.get_mut().write_all(with_id("settle", &format!("goes-{n}")).as_bytes()).unwrap();
+            client
+        })
+        .collect();
+    while !program.call("GET", "/-/metrics").1.contains("\nsvc_active 11\n") {}
+    drop(clients);
+    while !program.call("GET", "/-/metrics").1.contains("\nsvc_active 1\n") {}
+    list_it.send(plain("200 OK", &list(2, true, &[(target.addr, "ready")]))).unwrap();
+    assert_eq!(read(&mut stays).unwrap().status(), "200");
+    assert_eq!(ids(&target.seen), ["stays"]);
+}
+
+/// A target whose answer that it has not taken a job comes twice, the second time some milliseconds late.
+fn declines_twice() -> Peer {
+    let socket = TcpListener::bind("127.0.0.1:0").unwrap();
+    let addr = socket.local_addr().unwrap();
+    let (sender, seen) = channel();
+    thread::spawn(move || {
+        let first = Arc::new(Mutex::new(true));
+        for (number, stream) in socket.incoming().flatten().enumerate() {
+            let (sender, first) = (sender.clone(), Arc::clone(&first));
+            thread::spawn(move || {
+                let mut stream = BufReader::new(stream);
+                while let Some(message) = read(&mut stream) {
+                    let _ = sender.send((number, Some(message.clone())));
+                    let declined = "HTTP/1.1 503 Busy\r\nSrv-Declined: 1\r\nContent-Length: 0\r\n\r\n";
+                    if std::mem::take(&mut *first.lock().unwrap()) {
+                        stream.get_mut().write_all(declined.as_bytes()).unwrap();
+                        thread::sleep(Duration::from_millis(40));
+                        let _ = stream.get_mut().write_all(declined.as_bytes());
+                    } else {
+                        let _ = stream.get_mut().write_all(lines(&message, &[STARTED, DONE]).as_bytes());
+                    }
+                }
+            });
+        }
+    });
+    Peer { addr, seen }
+}
+
+/// An answer that does not say which request it is for, and comes twice: the second one was taken for the answer to the next
+/// request on the connection. That one ran, was thought turned away unseen, and was sent again.
+#[rstest]
+#[case::safe("watch")]
+#[case::never_twice("settle")]
+fn an_answer_that_comes_twice_is_not_the_answer_to_the_next_request(#[case] class: &str) {
+    let target = declines_twice();
+    let (addr, _calls) = discovery(vec![]);
+    let known = list(1, true, &[(target.addr, "ready")]);
+    // What was turned away is tried again some 2 ms later, well before the second answer.
+    let soon = [("\"slo-ms\":4000", "\"slo-ms\":8"), ("\"slo-ms\":4000", "\"slo-ms\":8")];
+    let program = Program::told(&known, addr, (1_024, 1_024), &soon);
+    assert_eq!(program.ask(class).status(), "200");
+    let seen = ids(&target.seen);
+    assert_eq!(seen.len(), 2, "once declined, once run: {seen:?}");
+}
+
+/// Requests that come in the very moments in which resting connections are closed after SIGTERM: each is answered whole, or was
+/// never sent on. Clients send until the process is gone.
+#[test]
+fn what_is_sent_on_after_sigterm_is_answered_whatever_the_instant() {
+    let target = serving();
+    let (mut program, _calls) = with_target(&target);
+    let mut resting: Vec<_> = (0..60).map(|_| program.connect()).collect();
+    for client in &mut resting {
+        client.get_mut().write_all(b"GET /ready HTTP/1.1\r\nHost: h\r\n\r\n").unwrap();
+        assert_eq!(read(client).unwrap().status(), "200");
+    }
+    program.signal("TERM");
+    program.wait_for("told to stop");
+    let told = Instant::now();
+    let clients: Vec<_> = (0..)
+        .zip(resting)
+        .map(|(n, mut client)| {
+            thread::spawn(move || {
+                // Over the whole time in which they are closed: 2.0 to 2.2 s after the word.
+                let at = Duration::from_millis(1_980 + 5 * n);
+                thread::sleep(at.saturating_sub(told.elapsed()));
+                let id = format!("late-{n}");
+                let sent = client.get_mut().write_all(with_id("settle", &id).as_bytes()).is_ok();
+                let answer = sent.then(|| read(&mut client)).flatten();
+                answer.map(|answer| (id, answer.status().to_owned()))
+            })
+        })
+        .collect();
+    let answered: Vec<_> = clients.into_iter().filter_map(|client| client.join().unwrap()).collect();
+    assert!(program.child.wait().unwrap().success());
+    assert!(answered.iter().all(|(_, status)| status == "200"), "{answered:?}");
+    for id in ids(&target.seen) {
+        assert!(answered.iter().any(|(of, _)| *of == id), "{id} was sent on and not answered: {answered:?}");
+    }
+}
+
+/// More words to stop, and a new configuration, amid stopping: what is owed is still given.
+#[test]
+fn further_signals_while_it_stops_end_nothing_early() {
+    let (release, gate) = channel::<()>();
+    let gate = Arc::new(Mutex::new(gate));
+    let target = peer(move |m| {
+        let _ = gate.lock().unwrap().recv();
+        Some(lines(m, &[STARTED, DONE]))
+    });
+    let (mut program, _calls) = with_target(&target);
+    let mut waiting = program.connect();
+    waiting.get_mut().write_all(job("settle").as_bytes()).unwrap();
+    assert!(target.seen.recv().unwrap().1.is_some());
+    let mut half = program.connect();
+    let text = with_id("watch", "half");
+    half.get_mut().write_all(&text.as_bytes()[..text.len() - 1]).unwrap();
+    program.signal("TERM");
+    program.wait_for("told to stop");
+    for signal in ["TERM", "HUP", "INT", "HUP"] {
+        program.signal(signal);
+    }
+    program.wait_for("was read again");
+    half.get_mut().write_all(&text.as_bytes()[text.len() - 1..]).unwrap();
+    drop(release);
+    for client in [&mut waiting, &mut half] {
+        let answer = read(client).expect("an answer");
+        assert_eq!((answer.status(), answer.header("connection")), ("200", Some("close")));
+        let mut rest = vec![];
+        assert_eq!(client.read_to_end(&mut rest).expect("closed, not reset"), 0);
+    }
+    assert!(program.child.wait().unwrap().success());
+}
+
+/// Amid stopping, a request that never comes whole gets its answer too, and keeps the process no longer than that.
+#[test]
+fn a_request_that_is_half_sent_when_it_stops_is_answered_in_time() {
+    let target = serving();
+    let (mut program, _calls) = with_target(&target);
+    let mut half = program.connect();
+    let text = with_id("watch", "half");
+    half.get_mut().write_all(&text.as_bytes()[..text.len() - 1]).unwrap();
+    let sent = Instant::now();
+    program.signal("TERM");
+    let answer = read(&mut half).expect("an answer");
+    assert_eq!((answer.status(), answer.header("connection")), ("408", Some("close")));
+    assert!(sent.elapsed() < Duration::from_millis(3_500), "{:?}", sent.elapsed());
+    drop(half);
+    assert!(program.child.wait().unwrap().success());
+    assert!(ids(&target.seen).is_empty());
+}
+
+/// Idle clients hold all the descriptors that clients may have, by the system's own limit, while discovery is down: once it is
+/// back, it, the target that it names and the second address get theirs.
+#[rstest]
+#[case::silent("")]
+#[case::half_a_head("POST /a HTTP/1.1\r\nReq-")]
+#[case::asked_once("GET /ready HTTP/1.1\r\nHost: h\r\n\r\n")]
+fn idle_clients_leave_discovery_targets_and_the_second_address_theirs(#[case] says: &'static str) {
+    let target = serving();
+    let named = plain("200 OK", &list(2, true, &[(target.addr, "ready")]));
+    let socket = TcpListener::bind("127.0.0.1:0").unwrap();
+    let addr: SocketAddr = socket.local_addr().unwrap();
+    let (up, back) = channel::<()>();
+    thread::spawn(move || {
+        // Down: each connection is closed at once.
+        let mut down = true;
+        for mut stream in socket.incoming().flatten() {
+            down &= back.try_recv().is_err();
+            if !down {
+                let named = named.clone();
+                thread::spawn(move || {
+                    let mut reader = BufReader::new(stream.try_clone().unwrap());
+                    while read(&mut reader).is_some() && stream.write_all(named.as_bytes()).is_ok() {}
+                });
+            }
+        }
+    });
+    // The limit of the system is the limit told.
+    let program = Program::limited(&list(1, true, &[]), addr, 120, 120);
+    let stop = Arc::new(Mutex::new(false));
+    let crowd: Vec<_> = (0..4)
+        .map(|_| {
+            let (to, stop) = (program.addr, Arc::clone(&stop));
+            thread::spawn(move || {
+                let mut open = std::collections::VecDeque::new();
+                while !*stop.lock().unwrap() {
+                    let Ok(mut stream) = TcpStream::connect(to) else { continue };
+                    let _ = stream.write_all(says.as_bytes());
+                    open.push_back(stream);
+                    // Some go, so that others come; at no time are there less than 400 of them.
+                    if open.len() > 100 {
+                        open.pop_front();
+                        thread::sleep(Duration::from_millis(5));
+                    }
+                }
+            })
+        })
+        .collect();
+    thread::sleep(Duration::from_millis(500));
+    assert_eq!(program.call("GET", "/-/ready").0, "200");
+    up.send(()).unwrap();
+    let back = Instant::now();
+    while !program.call("GET", "/-/metrics").1.contains("\nsvc_pool_size 1\n") {
+        assert!(back.elapsed() < Duration::from_secs(6), "discovery has told it nothing");
+    }
+    let mut client = program.connect();
+    client.get_mut().write_all(job("watch").as_bytes()).unwrap();
+    client.get_mut().set_read_timeout(Some(NEVER)).unwrap();
+    assert_eq!(read(&mut client).expect("an answer").status(), "200");
+    *stop.lock().unwrap() = true;
+    crowd.into_iter().for_each(|thread| thread.join().unwrap());
+}
--- /dev/null
+++ b/crates/http1/src/client.rs
@@ -0,0 +1,126 @@
+//! A client's socket, read ahead while its answer is made, so that a client which leaves is seen to leave.
+//!
+//! hyper looks for the end of a busy connection only as long as nothing has come behind the request: one that sends more and
+//! goes would be waited for, and its job sent on for nobody. What comes meanwhile is kept for hyper, up to a bound; beyond it
+//! is passed over, and the connection ends with the answer.
+//!
+//! A client that ends its sending has gone as one that closes has: the protocol knows no half of a close for requests (a
+//! dispatcher gives an attempt up "by closing its connection or by ending its sending on it"), and neither can be told from
+//! the other by what arrives.
+
+use crate::io::Observer;
+use std::cell::{Cell, RefCell};
+use std::io::Result;
+use std::pin::Pin;
+use std::rc::Rc;
+use std::task::{Context, Poll};
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::net::TcpStream;
+
+/// What is kept of that which comes behind a request.
+const AHEAD: usize = 64 * 1024;
+/// What is read and passed over beyond it. Who sends still more is not read any further.
+const PASSED_OVER: usize = 256 * 1024;
+/// What is read at a time.
+const PIECE: usize = 4 * 1024;
+
+/// The socket, held by hyper and by the one who looks for its end.
+pub(super) struct Client<O> {
+    stream: RefCell<TcpStream>,
+    observer: O,
+    ahead: RefCell<Vec<u8>>,
+    passed_over: Cell<usize>,
+    /// It has ended its sending, or its connection is broken.
+    gone: Cell<bool>,
+}
+
+impl<O: Observer> Client<O> {
+    pub fn new(stream: TcpStream, observer: O) -> Rc<Self> {
+        let (ahead, passed_over, gone) = Default::default();
+        Rc::new(Client { stream: RefCell::new(stream), observer, ahead, passed_over, gone })
+    }
+
+    /// Ready once the client has gone. To be asked only while its answer is made.
+    pub fn poll_gone(&self, cx: &mut Context<'_>) -> Poll<()> {
+        let mut piece = [0; PIECE];
+        while !self.gone.get() {
+            let room =
+                (AHEAD + PASSED_OVER).saturating_sub(self.ahead.borrow().len() + self.passed_over.get());
+            if room == 0 {
+                return Poll::Pending;
+            }
+            let mut buffer = ReadBuf::new(&mut piece[..room.min(PIECE)]);
+            let read = Pin::new(&mut *self.stream.borrow_mut()).poll_read(cx, &mut buffer);
+            match read {
+                Poll::Pending => return Poll::Pending,
+                Poll::Ready(Ok(())) if !buffer.filled().is_empty() => self.keep(buffer.filled()),
+                Poll::Ready(_) => self.gone.set(true),
+            }
+        }
+        Poll::Ready(())
+    }
+
+    /// More has come than is kept: what comes next is no whole request.
+    pub fn overran(&self) -> bool {
+        self.passed_over.get() > 0
+    }
+
+    fn keep(&self, bytes: &[u8]) {
+        let mut ahead = self.ahead.borrow_mut();
+        let kept = if self.overran() { 0 } else { AHEAD.saturating_sub(ahead.len()).min(bytes.len()) };
+        ahead.extend_from_slice(&bytes[..kept]);
+        self.passed_over.set(self.passed_over.get() + bytes.len() - kept);
+    }
+
+    fn poll_read(&self, cx: &mut Context<'_>, buf: &mut ReadBuf<'_>) -> Poll<Result<()>> {
+        let before = buf.filled().len();
+        let mut ahead = self.ahead.borrow_mut();
+        let result = if ahead.is_empty() {
+            Pin::new(&mut *self.stream.borrow_mut()).poll_read(cx, buf)
+        } else {
+            let taken = ahead.len().min(buf.remaining());
+            buf.put_slice(&ahead[..taken]);
+            ahead.drain(..taken);
+            Poll::Ready(Ok(()))
+        };
+        if buf.filled().len() > before {
+            self.observer.read(&buf.filled()[before..]);
+        }
+        result
+    }
+}
+
+/// hyper's side of it.
+pub(super) struct ClientIo<O>(pub Rc<Client<O>>);
+
+impl<O: Observer> AsyncRead for ClientIo<O> {
+    fn poll_read(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &mut ReadBuf<'_>) -> Poll<Result<()>> {
+        self.0.poll_read(cx, buf)
+    }
+}
+
+impl<O: Observer> AsyncWrite for ClientIo<O> {
+    fn poll_write(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<Result<usize>> {
+        Pin::new(&mut *self.0.stream.borrow_mut()).poll_write(cx, buf)
+    }
+
+    fn poll_write_vectored(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bufs: &[std::io::IoSlice<'_>],
+    ) -> Poll<Result<usize>> {
+        Pin::new(&mut *self.0.stream.borrow_mut()).poll_write_vectored(cx, bufs)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.0.stream.borrow().is_write_vectored()
+    }
+
+    fn poll_flush(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<Result<()>> {
+        Pin::new(&mut *self.0.stream.borrow_mut()).poll_flush(cx)
+    }
+
+    fn poll_shutdown(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<Result<()>> {
+        Pin::new(&mut *self.0.stream.borrow_mut()).poll_shutdown(cx)
+    }
+}
--- a/crates/http1/src/lib.rs
+++ b/crates/http1/src/lib.rs
@@ -1,5 +1,6 @@
 //! HTTP/1.1 towards clients and towards targets.
 
+mod client;
 mod guard;
 mod head;
 mod io;
--- a/crates/http1/src/listener.rs
+++ b/crates/http1/src/listener.rs
@@ -1,7 +1,7 @@
 //! The listener: takes flows from clients and answers them.
 
+use crate::client::{Client, ClientIo};
 use crate::guard::{Guard, Guards, Room, REQUEST_WAIT};
-use crate::io::Observed;
 use crate::seconds;
 use api::told;
 use api::{JobId, JobSpec, Micros};
@@ -20,6 +20,7 @@
 use std::convert::Infallible;
 use std::future::poll_fn;
 use std::rc::Rc;
+use std::task::Poll;
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
@@ -119,6 +120,8 @@
     Body,
     #[error("the request did not come in time")]
     Slow,
+    #[error("the client has left")]
+    Left,
     #[error("no target can use this")]
     Unusable,
     #[error("jobs come by POST")]
@@ -137,6 +140,7 @@
             | Refusal::Tenant(_)
             | Refusal::Repeated(_)
             | Refusal::Body
+            | Refusal::Left
             | Refusal::Unusable => StatusCode::BAD_REQUEST,
             Refusal::Id => StatusCode::CONFLICT,
             Refusal::Framing => StatusCode::LENGTH_REQUIRED,
@@ -170,7 +174,7 @@
 
 /// Ends a connection so that its last answer arrives: closed with something unread, it would be reset, and an
 /// answer that the client has not read yet would be lost.
-async fn linger<S>(conn: http1::Connection<TokioIo<Observed<Rc<Guard>>>, S>)
+async fn linger<S>(conn: http1::Connection<TokioIo<ClientIo<Rc<Guard>>>, S>)
 where
     S: HttpService<Incoming, ResBody = Full<Bytes>>,
     S::Error: std::error::Error + Send + Sync + 'static,
@@ -279,12 +283,13 @@
         if let Err(e) = stream.set_nodelay(true) {
             debug!("can't set TCP_NODELAY: {e}");
         }
-        let service = service_fn(|request| Box::pin(self.respond(request, crowded, &guard)));
+        let client = Client::new(stream, Rc::clone(&guard));
+        let service = service_fn(|request| Box::pin(self.respond(request, crowded, &guard, &client)));
         let mut conn = http1::Builder::new()
             .timer(TokioTimer::new())
             .header_read_timeout(IDLE_WAIT)
             .max_buf_size(READ_BUFFER)
-            .serve_connection(TokioIo::new(Observed::new(stream, Rc::clone(&guard))), service);
+            .serve_connection(TokioIo::new(ClientIo(Rc::clone(&client))), service);
         let served = async {
             let result = tokio::select! {
                 biased;
@@ -303,7 +308,12 @@
             biased;
             () = served => {}
             () = guard.cut() => debug!("a client's connection that asks nothing is closed"),
+            // Dropped with it, the flow tells the decisions.
+            () = poll_fn(|cx| if guard.waits() { client.poll_gone(cx) } else { Poll::Pending }) => {
+                debug!("a client has left before its answer");
+            }
         }
+        drop(client);
         // The socket is closed by now.
         self.guards.leave(number);
         self.closed.notify_one();
@@ -314,8 +324,9 @@
         request: Request<Incoming>,
         crowded: bool,
         guard: &Guard,
+        client: &Client<Rc<Guard>>,
     ) -> Result<Response<Full<Bytes>>, Infallible> {
-        let (mut response, refused) = match self.route(request, crowded, guard).await {
+        let (mut response, refused) = match self.route(request, crowded, guard, client).await {
             Ok(response) => (response, false),
             Err(refusal) => {
                 debug!("fixed response: {refusal}");
@@ -326,7 +337,7 @@
             }
         };
         // Who sends what can't be used may have sent more of it, and a body that was not read is no head.
-        let ends = crowded || refused || *self.phase.borrow() != Phase::Serving;
+        let ends = crowded || refused || client.overran() || *self.phase.borrow() != Phase::Serving;
         if ends {
             response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
         }
@@ -339,13 +350,14 @@
         request: Request<Incoming>,
         crowded: bool,
         guard: &Guard,
+        client: &Client<Rc<Guard>>,
     ) -> Result<Response<Full<Bytes>>, Refusal> {
         match (request.method(), request.uri().path()) {
             (&Method::GET, "/ready") if request.body().is_end_stream() => {
                 Ok(fixed(StatusCode::OK, "ready\n".into()))
             }
             (&Method::POST, "/ready") => Err(Refusal::Path),
-            (&Method::POST, _) => self.flow(request, crowded, guard).await,
+            (&Method::POST, _) => self.flow(request, crowded, guard, client).await,
             (&Method::GET, _) => Err(Refusal::Path),
             _ => Err(Refusal::Method),
         }
@@ -356,6 +368,7 @@
         request: Request<Incoming>,
         crowded: bool,
         guard: &Guard,
+        client: &Client<Rc<Guard>>,
     ) -> Result<Response<Full<Bytes>>, Refusal> {
         let came = self.desk.clock().now();
         let (head, body) = request.into_parts();
@@ -377,8 +390,9 @@
         let class = spec.class;
         let turned_back = |refusal: Refusal| {
             let answer = match refusal {
-                Refusal::Overload => Answer::Refused { retry_after: None },
-                Refusal::Slow => Answer::Failed,
+                Refusal::Overload => Some(Answer::Refused { retry_after: None }),
+                Refusal::Slow => Some(Answer::Failed),
+                Refusal::Left => None,
                 // Nothing that a usual client sends; it counts as a fixed response only.
                 _ => return refusal,
             };
@@ -407,6 +421,10 @@
         let path = head.uri.path_and_query().ok_or(Refusal::Path)?.as_str();
         debug!(?id, %path, "whole");
         let path = Bytes::copy_from_slice(path.as_bytes());
+        // Its leaving may lie in the socket behind its request, where the connection waited to be accepted or read.
+        if poll_fn(|cx| Poll::Ready(client.poll_gone(cx).is_ready())).await {
+            return Err(turned_back(Refusal::Left));
+        }
         // hyper drops the service's future when the client leaves, and the flow with it.
         let flow = self.desk.take(spec, Passed { path, id, key, body, claim });
         let number = flow.id().0;
--- a/crates/http1/src/target.rs
+++ b/crates/http1/src/target.rs
@@ -20,12 +20,18 @@
 use std::cell::Cell;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::time::Duration;
 use tokio::net::TcpStream;
 use tokio::sync::mpsc;
+use tokio::time::sleep;
 use tracing::{debug, warn};
 
 /// Longest answer that a target may give; a result of 64 KiB fits even if each byte is escaped.
 const LONGEST_ANSWER: usize = 512 * 1024;
+/// How long a connection rests after an answer that does not say which request it is for. Should that answer come twice, the
+/// second one is seen in this time and ends the connection, and is not taken for the answer to the next request: a job that
+/// runs would be thought turned away unseen, and sent again.
+const REST: Duration = Duration::from_millis(100);
 
 /// How an exchange ended.
 struct LastWord {
@@ -143,6 +149,15 @@
             _ = &mut conn => None,
         };
         let Some(order) = order else { return };
+        if let Order::Job { flow, .. } = &order {
+            // The last look before the socket.
+            if !desk.waits(*flow) {
+                debug!(conn = id.0, flow = flow.0, "not sent: its client has left");
+                desk.report(ended(id, LastWord { outcome: Outcome::NotSent, result: None, report: None }));
+                desk.report(Input::Free(id));
+                continue;
+            }
+        }
         outgoing.ordered(&order);
         let mut closed = false;
         let done = {
@@ -160,12 +175,19 @@
             }
         };
         match done {
-            Ok(()) if !closed => {
+            Ok(named) if !closed => {
                 outgoing.whole.set(u64::MAX);
+                let rested = async {
+                    let ready = sender.ready().await.is_ok();
+                    if !named {
+                        sleep(REST).await;
+                    }
+                    ready
+                };
                 let ready = tokio::select! {
                     biased;
-                    ready = sender.ready() => ready.is_ok(),
                     _ = &mut conn => false,
+                    ready = rested => ready,
                     _ = orders.recv() => false,
                 };
                 if !ready {
@@ -173,22 +195,23 @@
                 }
                 desk.report(Input::Free(id));
             }
-            Ok(()) => return,
+            Ok(_) => return,
             Err(e) => return debug!(conn = id.0, "exchange broke: {e}"),
         }
     }
 }
 
-/// One request and its answer, to the end of the body.
+/// One request and its answer, to the end of the body. Tells whether the connection needs no rest: the answer named its
+/// request, or was a probe's, which no job can take for a word that it has not run.
 async fn exchange(
     id: ConnId,
     order: Order,
     sender: &mut SendRequest<Full<Bytes>>,
     desk: &Desk,
-) -> Result<(), Broken> {
+) -> Result<bool, Broken> {
     let result = match &order {
-        Order::Job { passed, wait } => job(id, passed, *wait, sender, desk).await,
-        Order::Probe => probe(id, sender, desk).await,
+        Order::Job { passed, wait, .. } => job(id, passed, *wait, sender, desk).await,
+        Order::Probe => probe(id, sender, desk).await.map(|()| true),
     };
     if let Err(e) = &result {
         if e.nonsense() {
@@ -209,7 +232,7 @@
     wait: Micros,
     sender: &mut SendRequest<Full<Bytes>>,
     desk: &Desk,
-) -> Result<(), Broken> {
+) -> Result<bool, Broken> {
     let mut request = Request::builder()
         .method(Method::POST)
         .uri(Uri::from(PathAndQuery::from_maybe_shared(passed.path.clone())?))
@@ -231,7 +254,7 @@
             status if status.is_client_error() => Input::Unusable { conn: id, report },
             _ => ended(id, LastWord { outcome: Outcome::Error, result: None, report }),
         });
-        return collect(response.into_body()).await.map(drop);
+        return collect(response.into_body()).await.map(|_| false);
     }
     let report = header_report(&response, desk.names());
     let mut over = false;
@@ -245,6 +268,7 @@
         Ok(over)
     })
     .await
+    .map(|()| true)
 }
 
 fn header_report(response: &Response<Incoming>, names: &ReportNames) -> Option<LoadReport> {
--- a/crates/levels/src/governed.rs
+++ b/crates/levels/src/governed.rs
@@ -3,7 +3,7 @@
 use crate::gauges::{Gauges, Readings, Usage};
 use crate::ladder::{Cause, Change, Ladder};
 use crate::spec::Spec;
-use api::{Action, Event, Known, ListKind, Micros, Settings, SettingsError};
+use api::{Action, Event, JobId, Known, ListKind, Micros, Settings, SettingsError, WorkerId};
 use decide::Dispatcher;
 use std::sync::Arc;
 
@@ -95,6 +95,12 @@
         self.look(out);
     }
 
+    /// Whether the job's last attempt can be sent to the worker now, as [`Dispatcher::may_start`] says.
+    pub fn may_start(&mut self, now: Micros, job: JobId, worker: WorkerId) -> bool {
+        self.now = self.now.max(now);
+        self.dispatcher.may_start(self.now, job, worker)
+    }
+
     /// What a successor can use.
     pub fn known(&self) -> Known {
         self.dispatcher.known()
--- a/crates/state/src/lib.rs
+++ b/crates/state/src/lib.rs
@@ -106,8 +106,8 @@
     TurnedBack {
         /// Its class, by position.
         class: usize,
-        /// What it was answered as.
-        answer: Answer,
+        /// What it was answered as; none if its client had left by then.
+        answer: Option<Answer>,
     },
     /// The client of a flow has gone before its answer.
     Left(JobId),
--- a/crates/state/src/reducer.rs
+++ b/crates/state/src/reducer.rs
@@ -206,7 +206,10 @@
             }
             Input::TurnedBack { class, answer } => {
                 self.state.counts.taken(class);
-                self.state.counts.answered(class, &answer);
+                match answer {
+                    Some(answer) => self.state.counts.answered(class, &answer),
+                    None => self.state.counts.gone(class),
+                }
             }
             Input::Left(flow) => {
                 if let Some(class) = self.state.flows.finish(flow) {
@@ -501,12 +504,15 @@
         });
     }
 
-    /// The list may have changed, or the flow ended, while the connection was being opened: look again.
+    /// The list may have changed, the flow ended, or the time in which it may be repeated run out, while the connection was
+    /// being opened: look again.
     fn up(&mut self, conn: ConnId) {
         let Some((target, stage)) = self.state.pool.get(conn).map(|c| (c.target, c.stage)) else { return };
         let Stage::Opening(load) = stage else { return };
         let wanted = match load {
-            Load::Attempt(flow, _) => self.state.flows.waiting(flow),
+            Load::Attempt(flow, _) => {
+                self.state.flows.waiting(flow) && self.state.decisions.may_start(self.now, flow, target)
+            }
             Load::Probe => true,
         };
         if wanted && self.state.targets.ready(target) {
--- a/crates/state/tests/reducer.rs
+++ b/crates/state/tests/reducer.rs
@@ -129,6 +129,42 @@
     assert!(b.opened().is_some(), "it never ran, so it goes to the other target");
 }
 
+/// Guards against a repeat after its window: chosen inside it, its connection came up outside, and what the first attempt may
+/// have begun was done twice.
+#[rstest]
+#[case::inside(390, true)]
+#[case::outside(420, false)]
+fn what_may_be_repeated_only_for_a_while_is_looked_at_again_once_its_connection_is_up(
+    #[case] up_after: Micros,
+    #[case] sent: bool,
+) {
+    let mut class = class(Idempotency::Keyed { scope: Scope::Zone, memory: 450 * MS });
+    class.aim = 4_000 * MS;
+    let mut b = Bench::new(class, 2);
+    let first = b.flow(1);
+    b.take(Input::Up(first));
+    b.now += 380 * MS;
+    b.take(Input::Closed { conn: first, unsent: false });
+    let second = b.opened().expect("inside the window it is tried again");
+    b.now += (up_after - 380) * MS;
+    b.take(Input::Up(second));
+    assert_eq!(b.sent().is_some(), sent);
+    assert_eq!(b.answer(), (!sent).then_some(Answer::Failed), "what is given up is answered at once");
+}
+
+/// Guards against a request that goes out after its time, its connection having come up in that very moment.
+#[test]
+fn a_connection_that_comes_up_when_the_time_of_its_flow_is_up_carries_it_no_more() {
+    let mut b = Bench::new(safe(), 1);
+    let expires = b.now + 100 * MS;
+    let spec = JobSpec { id: JobId(1), class: 0, tenant: 0, slots: 1.0, expires, work: None, key: None };
+    b.take(Input::Taken(spec));
+    let conn = b.opened().expect("a connection is opened");
+    b.now = expires;
+    b.take(Input::Up(conn));
+    assert_eq!(b.sent(), None);
+}
+
 /// Guards against two attempts out at once: the next one waits until the connection of the last is closed.
 #[rstest]
 #[case::overdue(false)]
