Ask the homes of a key in turn, and read loads from what is held where slots are not told

Seen in the logs of 60 dispatchers: probes went to workers drawn at random, while jobs with a key waited half a mean run (165 to 185 ms of an aim of 200) for homes of which nobody was asked; then all went to the same homes: 579 pushes at one, 125 at the median, 165 ms in its queue. Reports: held less queued is running.

--- a/crates/decide/src/holding.rs
+++ b/crates/decide/src/holding.rs
@@ -12,6 +12,7 @@
         }
         self.budget.take(self.now);
         let (id, class, expires) = (spec.id, spec.class, spec.expires);
+        let asks_homes = spec.key.is_some() && self.sees_few();
         self.fleet.best -= self.fleet.best / TALLY;
         let tallies = self.classes.iter_mut().flat_map(|t| [&mut t.arrivals, &mut t.asked, &mut t.in_time]);
         tallies.for_each(|count| *count -= *count / TALLY);
@@ -28,7 +29,8 @@
         self.clock.timers.push(Reverse((answer_by, Timer::Answer(id))));
         self.hold(id, false);
         self.bound_hold(id, class);
-        let probes = PROBE_SPEND / self.settings.limits.probe_price.max(1.0e-9);
+        let spend = if asks_homes { PROBE_SPEND_HOMES } else { PROBE_SPEND };
+        let probes = spend / self.settings.limits.probe_price.max(1.0e-9);
         let most = if self.told_loads() { 0.0 } else { MOST_SCOUTS as f64 };
         self.fleet.probe_credit = (self.fleet.probe_credit + probes).min(most);
     }
@@ -57,7 +59,7 @@
         let ready = ready.filter(|(_, w)| fits(w) && w.open(self.now, self.clock.grace));
         let mut homes: Vec<_> = ready.map(|(id, w)| (Reverse(kin(key, w.listing.mark)), id)).collect();
         homes.sort_unstable();
-        homes.into_iter().take(HOMES).map(|(_, id)| *id).collect()
+        homes.into_iter().take(self.most_homes()).map(|(_, id)| *id).collect()
     }
 
     pub(crate) fn hold(&mut self, id: JobId, first: bool) {
--- a/crates/decide/src/placing.rs
+++ b/crates/decide/src/placing.rs
@@ -84,10 +84,16 @@
         let rank = |c: &Candidate| job.homes.iter().position(|h| *h == c.id).unwrap_or(job.homes.len());
         // Where no news of the homes will come, there is nothing to wait for.
         let away = self.told_loads() || waited > AWAY * self.mean_run();
+        let blind = !self.scouting();
+        // Where few are known a home comes after those before it have been asked, and any other after all of them.
+        let turn = |c: &Candidate| match self.sees_few() {
+            true => blind || job.homes.iter().take(rank(c)).all(|home| self.is_asked(*home)),
+            false => rank(c) < HOMES,
+        };
         let yields = self.yields(job.spec.class);
         let left = |c: &Candidate| if c.bound { 1.0 - yields } else { 1.0 };
         let weight = |c: &&Candidate| c.room * c.pace * left(c) * KIN.powi(-(rank(c) as i32));
-        let mut open: Vec<_> = candidates.iter().filter(fits).filter(|c| away || rank(c) < HOMES).collect();
+        let mut open: Vec<_> = candidates.iter().filter(fits).filter(|c| away || turn(c)).collect();
         // To fetch what a job needs takes longer than any way to where it is kept.
         let price = |c: &Candidate| if job.homes.is_empty() { c.price } else { 0.0 };
         open.sort_by(|a, b| price(a).total_cmp(&price(b)));
--- a/crates/decide/src/probing.rs
+++ b/crates/decide/src/probing.rs
@@ -3,17 +3,25 @@
 use super::*;
 
 impl Dispatcher {
-    pub(crate) fn on_report(&mut self, worker: WorkerId, report: Option<LoadReport>) {
-        let Some(free) = report.and_then(|r| LoadReport::sound(r.free_slots)) else { return };
+    /// What a report says of free slots, if anything.
+    pub(crate) fn on_report(&mut self, worker: WorkerId, report: Option<LoadReport>) -> Option<f64> {
+        let figure = |of: fn(&LoadReport) -> Option<f64>| LoadReport::sound(report.as_ref().and_then(of));
+        let (told, held) = (figure(|r| r.free_slots), figure(|r| r.outstanding));
         let fading = self.fading();
-        let Some(w) = self.workers.get_mut(&worker) else { return };
+        let w = self.workers.get_mut(&worker).filter(|_| told.or(held).is_some())?;
         // On an outcome the report is from before; its queue is gone, and would keep an idle worker shut.
-        let queued = report.filter(|_| self.settings.reports == Reports::Probes).and_then(|r| r.queued);
-        let waiting = LoadReport::sound(queued).unwrap_or(0.0);
+        let queued = figure(|r| r.queued).unwrap_or(0.0);
+        let waiting = if told.is_some() && self.settings.reports == Reports::Probes { queued } else { 0.0 };
         let kind = self.kinds.entry(w.listing.kind).or_default();
-        kind.reported(free);
+        told.into_iter().for_each(|free| kind.reported(free));
+        // Where free slots are not told, what is held says as much: all but what waits is running.
+        let free = told.unwrap_or_else(|| {
+            let held = held.unwrap_or(0.0);
+            kind.seen((held - queued).floor());
+            kind.slots() - held
+        });
         if self.now < w.told_until {
-            return;
+            return Some(free);
         }
         let others = (kind.slots() - free + waiting - w.own()).clamp(0.0, kind.slots());
         let (kept, fade) = (w.reported.map_or(0.0, |t| fading(t) / 2.0), fading(self.fleet.others.2));
@@ -22,26 +30,27 @@
         self.fleet.heard.retain(|id| *id != worker);
         self.fleet.heard.push_front(worker);
         self.fleet.heard.truncate(SAMPLE / 2);
+        Some(free)
     }
 
     pub(crate) fn on_probed(&mut self, worker: WorkerId, outcome: Outcome, report: Option<LoadReport>) {
         self.fleet.scouts.retain(|(_, id)| *id != worker);
         let mean_run = self.mean_run();
+        let free = self.on_report(worker, report).is_some_and(|free| free >= 1.0);
         let Some(w) = self.workers.get_mut(&worker) else { return };
         w.probing = None;
         w.heed_probe(outcome, self.now);
-        let free = report.and_then(|r| LoadReport::sound(r.free_slots)).is_some_and(|free| free >= 1.0);
         match outcome {
             // A rare pusher would not see a worker's recovery by its pushes.
             Outcome::Done if free => w.backoff.success(mean_run, &mut self.rng),
             Outcome::Done | Outcome::Reset => {} // broken off, it says as little of the worker as a job would
             _ => w.backoff.failure(self.now, mean_run, &mut self.rng),
         }
-        self.on_report(worker, report);
     }
 
     pub(crate) fn scout(&mut self, out: &mut Vec<Action>) {
-        let most = (SCOUTS * self.held.values().map(VecDeque::len).sum::<usize>()).min(MOST_SCOUTS);
+        let each = if self.sees_few() { 1 } else { SCOUTS };
+        let most = (each * self.held.values().map(VecDeque::len).sum::<usize>()).min(MOST_SCOUTS);
         // So many tries and no more: a draw may find nobody to ask.
         for _ in 0..MOST_SCOUTS {
             if self.fleet.scouts.len() < most && self.may_scout() {
@@ -62,7 +71,7 @@
     }
 
     pub(crate) fn probe(&mut self, bearable: f64, out: &mut Vec<Action>) {
-        let (drawn, idle) = (self.draw(bearable), self.idle_span());
+        let (drawn, idle) = (self.unknown_home().or_else(|| self.draw(bearable)), self.idle_span());
         let fits = |w: &Worker| w.probing.is_none() && w.ready() && self.price(w, idle) <= bearable;
         let Some(id) = drawn.filter(|id| self.workers.get(id).is_some_and(fits)) else { return };
         self.fleet.probe_credit -= 1.0;
@@ -71,6 +80,31 @@
         out.push(Action::Probe { worker: id });
     }
 
+    /// The homes of a job where few workers are known.
+    pub(crate) fn most_homes(&self) -> usize {
+        if self.sees_few() {
+            HOMES_FEW
+        } else {
+            HOMES
+        }
+    }
+
+    /// Nothing more will be learned of it just now: it has just said what it holds, or gets nothing.
+    pub(crate) fn is_asked(&self, id: WorkerId) -> bool {
+        let Some(w) = self.workers.get(&id).filter(|w| w.open(self.now, self.clock.grace)) else {
+            return true;
+        };
+        w.probing.is_none() && w.reported.map_or(0.0, self.fading()) >= KNOWN
+    }
+
+    /// The first home of a held job that is to be asked, where few are known.
+    fn unknown_home(&self) -> Option<WorkerId> {
+        let idle = |id: &&WorkerId| self.workers.get(id).is_some_and(|w| w.probing.is_none());
+        let held = self.held.values().flatten().filter(|_| self.sees_few());
+        let first = |id| self.jobs.get(id)?.homes.iter().find(|h| !self.is_asked(**h)).filter(idle);
+        held.filter_map(first).next().copied()
+    }
+
     pub(crate) fn may_scout(&self) -> bool {
         self.settings.limits.probe && self.settings.dispatchers > 1 && self.fleet.probe_credit >= 1.0
     }
--- a/crates/decide/tests/common/mod.rs
+++ b/crates/decide/tests/common/mod.rs
@@ -130,6 +130,28 @@
         self.event(Event::Ended { job: JobId(id), attempt, worker, outcome, finished, report: None })
     }
 
+    /// Answers each probe, and so on until nobody is asked any more; who was asked, and all that was done.
+    pub fn answer_probes(
+        &mut self,
+        actions: Vec<Action>,
+        report: impl Fn(WorkerId) -> LoadReport,
+    ) -> (Vec<WorkerId>, Vec<Action>) {
+        let (mut asked, mut done, mut next) = (Vec::new(), Vec::new(), actions);
+        while !next.is_empty() {
+            self.now += MS;
+            let mut follow = Vec::new();
+            for action in &next {
+                if let Action::Probe { worker } = *action {
+                    asked.push(worker);
+                    let report = Some(report(worker));
+                    follow.extend(self.event(Event::Probed { worker, outcome: Outcome::Done, report }));
+                }
+            }
+            done.extend(std::mem::replace(&mut next, follow));
+        }
+        (asked, done)
+    }
+
     /// Moves the clock and wakes the dispatcher.
     pub fn after(&mut self, span: Micros) -> Vec<Action> {
         self.now += span;
--- a/crates/decide/tests/decisions.rs
+++ b/crates/decide/tests/decisions.rs
@@ -207,27 +207,13 @@
     }
 }
 
-/// Answers every probe among the actions after a millisecond, and those that follow, with the free slots given.
-/// Returns the workers asked and all that was done.
+/// Answers each probe with so many free slots, and so on until nobody is asked any more; who was asked, and all that was done.
 fn answer_probes(
     rig: &mut Rig,
     actions: Vec<Action>,
     free: impl Fn(WorkerId) -> f64,
 ) -> (Vec<WorkerId>, Vec<Action>) {
-    let (mut asked, mut done, mut next) = (Vec::new(), Vec::new(), actions);
-    while !next.is_empty() {
-        rig.now += MS;
-        let mut follow = Vec::new();
-        for action in &next {
-            if let Action::Probe { worker } = *action {
-                asked.push(worker);
-                let report = Some(LoadReport { free_slots: Some(free(worker)), ..LoadReport::default() });
-                follow.extend(rig.event(Event::Probed { worker, outcome: Outcome::Done, report }));
-            }
-        }
-        done.extend(std::mem::replace(&mut next, follow));
-    }
-    (asked, done)
+    rig.answer_probes(actions, |w| LoadReport { free_slots: Some(free(w)), ..LoadReport::default() })
 }
 
 fn many(dispatchers: u32, reports: Reports, probe_price: f64) -> Settings {
