Ask a pushed list's agent anew beside a call that is not answered

The agent is silent while discovery is down, and what it gets at the return counts at once; a call made in the silence is never answered and was waited for, 2.75 s (log of one dispatcher: asked at 9.727 s, given up at 12.529, list at 12.631; back at 11.03). A watch on an agent now waits 100 ms, and 60 ms later others are made beside it until one is answered, so that a slow agent is not given up either. The first call of any watch asks for an answer at once: what was missed is told, and a silence noticed, a second sooner.

Ruled out: that the silent call is answered late (it never was), that the watch ends with a reset (it did not). TCP_NODELAY that can't be set no longer costs discovery's call.

--- a/crates/discovery/src/lib.rs
+++ b/crates/discovery/src/lib.rs
@@ -28,13 +28,21 @@
 
 /// How long a watch asks discovery to wait, see [`roster`].
 const WATCH_WAIT: Duration = Duration::from_micros(roster::WATCH_WAIT);
+/// ... and its first call, which is to say what was missed: hardly at all.
+const NO_WAIT: Duration = Duration::from_millis(1);
 /// How long an answer may take beyond that ...
 const ANSWER_WAIT: Duration = Duration::from_micros(roster::ANSWER_WAIT);
 /// ... and a call that has to wait for its turn first.
 const TURN_WAIT: Duration = Duration::from_micros(roster::CALL_WAITS);
-/// Where lists are pushed, the agent on this machine has nobody else to answer: how soon it is asked again. What it hears
-/// after an outage counts at once.
-const AGENT_PAUSE: Duration = Duration::from_millis(100);
+/// Where lists are pushed, the agent on this machine has nobody else to answer, and what it has counts at once, also what it
+/// hears right after an outage. It is silent meanwhile, and a call that was made then is never answered: so a watch there is
+/// short, and one that is not answered in time has others made beside it. From the agent's return to its answer it takes
+/// these three together at most, well within the time in which sends to a target that drains must end.
+const AGENT_WATCH: Duration = Duration::from_millis(100);
+/// ... the time that an agent's answer usually takes, with a processor that is shared ...
+const AGENT_ANSWER: Duration = Duration::from_millis(60);
+/// ... and the pause between calls that fail.
+const AGENT_PAUSE: Duration = Duration::from_millis(10);
 /// ... and beyond that again, for what lies in the socket: a process that was stopped finds its time up before it has read
 /// what it was told meanwhile.
 const UNREAD_WAIT: Duration = Duration::from_millis(50);
@@ -148,18 +156,20 @@
                     (link, whole, after, going) = (None, true, None, false);
                     continue;
                 }
-                answer = call(addr, after, going, &mut link) => answer,
+                answer = ask(addr, after, going, link.take(), pushed) => answer,
             };
             match answer {
-                Ok(list) => {
+                Ok((list, kept)) => {
+                    link = Some(kept);
                     debug!(version = list.version, full = list.full, entries = list.servers.len(), "list");
                     if whole {
                         lists.moved();
                     }
                     say(&desk, &mut said, lists.look(&list, &places));
-                    (after, whole, going) = (Some(list.version), false, true);
-                    let early = desk.clock().now() - asked < WATCH_WAIT.as_micros() as Micros / 2;
+                    let early = going
+                        && desk.clock().now() - asked < news_wait(going, pushed).as_micros() as Micros / 2;
                     let idle = early && !list.full && list.servers.is_empty();
+                    (after, whole, going) = (Some(list.version), false, true);
                     desk.report(places.input(list, false, addr));
                     desk.listed();
                     if idle {
@@ -206,32 +216,75 @@
     _conn: JoinSet<()>,
 }
 
-async fn call(
+/// How long discovery is asked to wait for news. The first call of a watch is answered once its turn has come: what was missed
+/// is told, and a silence noticed, sooner.
+fn news_wait(going: bool, pushed: bool) -> Duration {
+    match (going, pushed) {
+        (false, _) => NO_WAIT,
+        (true, false) => WATCH_WAIT,
+        (true, true) => AGENT_WATCH,
+    }
+}
+
+/// One call, or where lists are pushed, as many beside it as it takes until one is answered or the first has failed.
+async fn ask(
     addr: SocketAddr,
     after: Option<u64>,
     going: bool,
-    kept: &mut Option<Link>,
-) -> Result<List, CallError> {
-    let mut link = match kept.take() {
+    link: Option<Link>,
+    pushed: bool,
+) -> Result<(List, Link), CallError> {
+    let news = news_wait(going, pushed);
+    let turn = if going { Duration::ZERO } else { TURN_WAIT };
+    let mut first = std::pin::pin!(call(addr, after, news, news + turn + ANSWER_WAIT, link));
+    if !pushed {
+        return first.await;
+    }
+    let mut pause = news + AGENT_ANSWER;
+    loop {
+        tokio::select! {
+            biased;
+            answer = &mut first => return answer,
+            () = tokio::time::sleep(pause) => {}
+        }
+        tokio::select! {
+            biased;
+            answer = &mut first => return answer,
+            answer = timeout(AGENT_ANSWER, call(addr, after, NO_WAIT, AGENT_ANSWER, None)) => {
+                if let Ok(Ok(answer)) = answer {
+                    return Ok(answer);
+                }
+            }
+        }
+        pause = AGENT_PAUSE;
+    }
+}
+
+async fn call(
+    addr: SocketAddr,
+    after: Option<u64>,
+    news: Duration,
+    wait: Duration,
+    link: Option<Link>,
+) -> Result<(List, Link), CallError> {
+    let mut link = match link {
         Some(link) if !link.sender.is_closed() => link,
         _ => {
             let late = |_| std::io::Error::from(std::io::ErrorKind::TimedOut);
             let stream = timeout(CONNECT_WAIT, TcpStream::connect(addr)).await.map_err(late)??;
-            stream.set_nodelay(true)?;
+            if let Err(e) = stream.set_nodelay(true) {
+                debug!("can't set TCP_NODELAY: {e}");
+            }
             let (sender, conn) = http1::handshake(TokioIo::new(stream)).await?;
             let mut task = JoinSet::new();
             task.spawn_local(async { conn.await.unwrap_or_else(|e| debug!("discovery: {e}")) });
             Link { sender, _conn: task }
         }
     };
-    let (path, wait) = match after {
-        Some(version) => {
-            let wait = WATCH_WAIT.as_millis();
-            (format!("/v1/endpoints?index={version}&wait={wait}"), WATCH_WAIT + ANSWER_WAIT)
-        }
-        None => ("/v1/endpoints".to_owned(), ANSWER_WAIT),
+    let path = match after {
+        Some(version) => format!("/v1/endpoints?index={version}&wait={}", news.as_millis()),
+        None => "/v1/endpoints".to_owned(),
     };
-    let wait = if going { wait } else { wait + TURN_WAIT };
     let request = Request::builder().uri(path).header("host", addr.to_string()).body(Empty::new())?;
     let (status, body) = {
         let mut answer = std::pin::pin!(async {
@@ -250,7 +303,5 @@
     if status != StatusCode::OK {
         return Err(CallError::Status(status));
     }
-    let list = serde_json::from_slice(&body)?;
-    *kept = Some(link);
-    Ok(list)
+    Ok((serde_json::from_slice(&body)?, link))
 }
--- a/crates/fordrelay/tests/common/mod.rs
+++ b/crates/fordrelay/tests/common/mod.rs
@@ -92,6 +92,29 @@
     let _ = seen.send((number, None));
 }
 
+/// A peer that never answers where its script says nothing, and keeps that connection open.
+pub fn silent_peer(script: impl Fn(&Message) -> Option<String> + Send + Sync + Clone + 'static) -> Peer {
+    let socket = TcpListener::bind("127.0.0.1:0").unwrap();
+    let addr = socket.local_addr().unwrap();
+    let (sender, seen) = channel();
+    thread::spawn(move || {
+        for (number, stream) in socket.incoming().flatten().enumerate() {
+            let (sender, script) = (sender.clone(), script.clone());
+            thread::spawn(move || {
+                let mut stream = BufReader::new(stream);
+                while let Some(message) = read(&mut stream) {
+                    let _ = sender.send((number, Some(message.clone())));
+                    if let Some(text) = script(&message) {
+                        let _ = stream.get_mut().write_all(text.as_bytes());
+                    }
+                }
+                let _ = sender.send((number, None));
+            });
+        }
+    });
+    Peer { addr, seen }
+}
+
 pub fn plain(status: &str, body: &str) -> String {
     format!("HTTP/1.1 {status}\r\nContent-Length: {}\r\n\r\n{body}", body.len())
 }
--- a/crates/fordrelay/tests/discovery.rs
+++ b/crates/fordrelay/tests/discovery.rs
@@ -5,6 +5,7 @@
 use common::*;
 use rstest::rstest;
 use std::sync::mpsc::channel;
+use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
 /// Guards against a list that is lost for good after a failed or malformed answer, and against sends to a
@@ -132,3 +133,50 @@
     assert_eq!(program.ask("watch").status(), "200");
     assert!(new.seen.recv().unwrap().1.is_some() && old.seen.try_recv().is_err());
 }
+
+/// Found on a deployment of our own (herd+mass, drain, 102 times): while discovery is down its agent is silent, what it gets at
+/// the return counts at once, and a call made before is never answered. It was waited for, up to 2.75 s.
+#[rstest]
+#[case::at_its_start(false)]
+#[case::amid_a_watch(true)]
+fn where_lists_are_pushed_an_agent_that_was_silent_is_heard_as_soon_as_it_is_back(#[case] watching: bool) {
+    let target = serving();
+    let state = Arc::new(Mutex::new((!watching).then_some(Instant::now())));
+    let drained = list(5, true, &[(target.addr, "draining")]);
+    let first = list(3, true, &[(target.addr, "ready")]);
+    let agent = {
+        let state = Arc::clone(&state);
+        let lists = Arc::new(Mutex::new((first, drained)));
+        let back = Arc::new(Mutex::new(false));
+        let (back_at, heard) = (Arc::clone(&back), lists);
+        let peer = silent_peer(move |m| {
+            let (first, drained) = &*heard.lock().unwrap();
+            match (*state.lock().unwrap(), *back.lock().unwrap()) {
+                // Silent: what is asked now is never answered.
+                (Some(_), false) => None,
+                (_, true) => Some(plain("200 OK", drained)),
+                (None, false) if m.first.contains("index=3") => {
+                    std::thread::sleep(Duration::from_millis(50));
+                    Some(plain("200 OK", &list(3, false, &[])))
+                }
+                (None, false) => Some(plain("200 OK", first)),
+            }
+        });
+        (peer, back_at)
+    };
+    let (agent, back) = agent;
+    let known = list(1, true, &[(target.addr, "ready")]);
+    let mut program = Program::told(&known, agent.addr, (1_024, 1_024), &[("on_request", "pushed")]);
+    if watching {
+        while !agent.seen.recv().unwrap().1.is_some_and(|call| call.first.contains("index=3")) {}
+        *state.lock().unwrap() = Some(Instant::now());
+    }
+    // Over several calls, and back at no time of theirs.
+    std::thread::sleep(Duration::from_millis(1_337));
+    let _ = agent.seen.try_iter().count();
+    *back.lock().unwrap() = true;
+    let since = Instant::now();
+    while !agent.seen.recv().unwrap().1.is_some_and(|call| call.first.contains("index=5")) {}
+    assert!(since.elapsed() < Duration::from_millis(230), "heard after {:?}", since.elapsed());
+    assert!(program.child.try_wait().unwrap().is_none());
+}
