Make each failed call to discovery again within the clock, in fleets of any size

The pause after a failure was spread over all dispatchers, up to 20 s at 300 (roster::Pace::pause, TURNS_AGAIN). Now the next call goes out 3.5 s after the failed one was made at the latest: 2 s for its turn and half a second for the answer are left. The pause is drawn from what the failure has left, from the later half of it after the first, so that an outage is not a storm.

--- a/crates/decide/src/kept.rs
+++ b/crates/decide/src/kept.rs
@@ -139,4 +139,5 @@
     pub(crate) rescan_at: Micros,
     pub(crate) grace: Micros,     // an answer within this is prompt
     pub(crate) ask: Option<Pace>, // of calls to discovery, where it must be asked
+    pub(crate) asked: Micros,     // when the last one was made: a watch goes on with each answer
 }
--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -105,7 +105,10 @@
                 Timer::Late(id) => self.on_late(id, out),
                 Timer::Unplaced(id) => self.on_unplaced(id, out),
                 Timer::Overdue(id, attempt, worker) => self.on_overdue((id, attempt, worker), out),
-                Timer::Rewatch => out.push(Action::Watch),
+                Timer::Rewatch => {
+                    self.clock.asked = now;
+                    out.push(Action::Watch);
+                }
             }
         }
     }
--- a/crates/decide/src/listing.rs
+++ b/crates/decide/src/listing.rs
@@ -6,6 +6,7 @@
     pub(crate) fn on_listed(&mut self, kind: ListKind, entries: &[Listing], out: &mut Vec<Action>) {
         self.clock.rescan_at = 0;
         self.clock.ask.iter_mut().for_each(Pace::heard);
+        self.clock.asked = self.now;
         let listed: BTreeSet<WorkerId> = entries.iter().map(|e| e.worker).collect();
         let kept = |id: &WorkerId| kind == ListKind::Changes || listed.contains(id);
         let left = self.workers.iter_mut().filter(|(id, _)| !kept(id));
@@ -50,8 +51,9 @@
 
     /// Asks discovery after a pause: none is in another's way there.
     pub(crate) fn ask(&mut self, lost: CallLost) {
+        let took = self.now - self.clock.asked;
         let Some(ask) = self.clock.ask.as_mut() else { return };
-        let pause = ask.pause(lost, unit(&mut self.rng), unit(&mut self.rng));
+        let pause = ask.pause(lost, took, unit(&mut self.rng), unit(&mut self.rng));
         self.clock.timers.push(Reverse((self.now + pause, Timer::Rewatch)));
     }
 }
--- a/crates/fordrelay/tests/discovery.rs
+++ b/crates/fordrelay/tests/discovery.rs
@@ -180,3 +180,31 @@
     assert!(since.elapsed() < Duration::from_millis(230), "heard after {:?}", since.elapsed());
     assert!(program.child.try_wait().unwrap().is_none());
 }
+
+/// Whatever became of a call: discovery may have had news, and been there, since a moment after it was made, and these count as
+/// told 6 s later, in a fleet of 300 too. Before, the next call came up to 20 s later.
+#[rstest]
+#[case::refused(Some(plain("503 Service Unavailable", "")))]
+#[case::reset(None)]
+#[case::cut_short(Some("HTTP/1.1 200 OK\r\nContent-Length: 50\r\nConnection: close\r\n\r\n{".into()))]
+#[case::malformed(Some(plain("200 OK", "[]")))]
+#[case::silent(Some(String::new()))]
+fn in_a_large_fleet_too_a_call_that_failed_is_made_again_within_the_clock(#[case] bad: Option<String>) {
+    let target = serving();
+    let discovery = peer(move |_| bad.clone());
+    let known = list(1, true, &[(target.addr, "ready")]);
+    let _program = Program::told(&known, discovery.addr, (1_024, 1_024), &[("total\":1", "total\":300")]);
+    let call = || loop {
+        if let (_, Some(_)) = discovery.seen.recv().unwrap() {
+            break Instant::now();
+        }
+    };
+    let mut last = call();
+    for _ in 0..3 {
+        let next = call();
+        // 2 s for its turn, and half a second for the answer, are left.
+        let apart = next - last;
+        assert!(apart < Duration::from_millis(3_600), "{apart:?} after the failed one");
+        last = next;
+    }
+}
--- a/crates/roster/src/lib.rs
+++ b/crates/roster/src/lib.rs
@@ -27,24 +27,29 @@
 /// discovery takes, or a start of all together fills its queue; the longer, the later a restarted dispatcher learns
 /// of what has changed.
 const TURN: Micros = 60_000;
-/// What a silent watch missed counts as told so long after it fell silent, whatever the settings say of asking.
-pub const SILENCE_TOLD: Micros = 6_000_000;
+/// What a failed call or a silent watch missed counts as told so long after discovery had it and could be reached, whatever
+/// the settings say of asking.
+pub const TOLD_AFTER: Micros = 6_000_000;
 /// How long a watch asks discovery to wait: a watch that falls silent is noticed only after that. Going on costs discovery no
-/// turn, so the shorter it is, the more of [`SILENCE_TOLD`] is left.
+/// turn, so the shorter it is, the more of [`TOLD_AFTER`] is left.
 pub const WATCH_WAIT: Micros = 1_000_000;
 /// How long the answer on a watch may take beyond that: no turn is waited for, so it is the network's time and that of a
 /// processor which is shared.
 pub const ANSWER_WAIT: Micros = 750_000;
 /// What a call may wait for its turn at discovery before it fails there.
 pub const CALL_WAITS: Micros = 2_000_000;
-/// The spread of the calls that follow silent watches: what the clock leaves when it was noticed and the call may still
-/// wait for its turn, less half a second for the connection, the answer and a processor that is shared.
-const SILENT_SPREAD: Micros = SILENCE_TOLD - WATCH_WAIT - ANSWER_WAIT - CALL_WAITS - 500_000;
+/// What a call takes beyond its turn: the connection, the answer and a processor that is shared.
+pub const CALL_TAKES: Micros = 500_000;
+/// The longest that a call takes to fail: one second for the connection, its turn, and the answer.
+const LONGEST_CALL: Micros = 1_000_000 + CALL_WAITS + ANSWER_WAIT + 250_000;
+/// A call that failed may have been made just before discovery could be reached: the next one goes out so long after it at
+/// the latest, so that it has its turn and its answer within [`TOLD_AFTER`].
+pub const CALL_AGAIN: Micros = TOLD_AFTER - CALL_WAITS - CALL_TAKES;
 /// Turns that each failed call is spread over: those that failed once already were too many.
 const TURNS_AGAIN: u64 = 2;
 /// The shortest pause after a failure, as a share of the longest time that may pass unasked.
 const SHORTEST: u64 = 128;
-/// The longest such pause, likewise; well within what the rules allow.
+/// The longest such pause, likewise, where [`CALL_AGAIN`] is no shorter.
 const LONGEST: u64 = 4;
 /// Jitter of a pause, as a share of it.
 const JITTER: f64 = 0.3;
@@ -78,22 +83,30 @@
     ///
     /// The first call is spread over 60 ms for each dispatcher beyond two, at most half of the time that may pass
     /// unasked. The pause after a failure doubles from one to the next, between 1/128 and 1/4 of that time; on top
-    /// comes twice the spread, which is the larger part where dispatchers are many.
+    /// comes twice the spread, which is the larger part where dispatchers are many. Both together end [`CALL_AGAIN`] after
+    /// the failed call was made, `took` being what it took to fail: however it failed, what it missed counts as told by then.
+    /// Where that cuts the pause, it is drawn from what is left: from all of it at first, since many may have failed at one
+    /// moment, and then from its later half.
     ///
-    /// A call that falls silent after others were answered is broken on its own: what it misses counts as told
-    /// [`SILENCE_TOLD`] later, so the next one is spread no further than that leaves. If that is lost as well, however it
-    /// is, discovery itself is in trouble, and the spread of a failure holds again.
-    pub fn pause(&mut self, lost: CallLost, jitter: f64, drawn: f64) -> Micros {
+    /// A call that falls silent after others were answered is broken on its own, and is made again without a back-off.
+    pub fn pause(&mut self, lost: CallLost, took: Micros, jitter: f64, drawn: f64) -> Micros {
         let before = self.failures;
         self.failures = Some(before.map_or(0, |f| f.saturating_add(1)));
+        // No call takes longer: what did is a watch that needs none to go on, and it broke just now.
+        let most = CALL_AGAIN.saturating_sub(if took > LONGEST_CALL { 0 } else { took });
         match (before, lost) {
             (None, _) => share(self.spread(1).min(self.ask_within / 2), drawn),
-            (Some(0), CallLost::Silent) => share(self.spread(1).min(SILENT_SPREAD), drawn),
+            (Some(0), CallLost::Silent) => share(self.spread(1).min(most), drawn),
             (Some(failures), _) => {
                 let doubled = (self.ask_within / SHORTEST).saturating_mul(1 << failures.min(16));
                 let jittered =
                     share(doubled.min(self.ask_within / LONGEST), 1.0 - JITTER + 2.0 * JITTER * jitter);
-                jittered + share(self.spread(TURNS_AGAIN).min(2 * self.ask_within), drawn)
+                let spread = self.spread(TURNS_AGAIN);
+                if jittered.saturating_add(spread) <= most {
+                    return jittered + share(spread, drawn);
+                }
+                let floor = if failures == 0 { jittered.min(most / 2) } else { most / 2 };
+                floor + share(most - floor, drawn)
             }
         }
     }
