--- a/crates/fordrelay/tests/common/mod.rs
+++ b/crates/fordrelay/tests/common/mod.rs
@@ -234,6 +234,13 @@
         assert!(sent.unwrap().success());
     }
 
+    /// Has it stand still, and comes back once it does.
+    pub fn stop(&self) {
+        self.signal("STOP");
+        let stat = format!("/proc/{}/stat", self.child.id());
+        while !std::fs::read_to_string(&stat).unwrap().contains(") T ") {}
+    }
+
     pub fn connect(&self) -> BufReader<TcpStream> {
         BufReader::new(TcpStream::connect(self.addr).unwrap())
     }
--- a/crates/fordrelay/tests/discovery.rs
+++ b/crates/fordrelay/tests/discovery.rs
@@ -41,7 +41,7 @@
     });
     let program = Program::start(&list(1, true, &[(target.addr, "ready")]), discovery.addr, 1_024);
     assert!(discovery.seen.recv().unwrap().1.is_some(), "the watch");
-    program.signal("STOP");
+    program.stop();
     release.send(()).unwrap();
     std::thread::sleep(std::time::Duration::from_millis(4_200));
     program.signal("CONT");
--- a/crates/http1/src/client.rs
+++ b/crates/http1/src/client.rs
@@ -17,8 +17,9 @@
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 
-/// What is kept of that which comes behind a request.
-const AHEAD: usize = 64 * 1024;
+/// What is kept of that which comes behind a request: with hyper's buffer and the head that is heard, what the settings reserve
+/// for a connection.
+const AHEAD: usize = 16 * 1024;
 /// What is read and passed over beyond it. Who sends still more is not read any further.
 const PASSED_OVER: usize = 256 * 1024;
 /// What is read at a time.
