--- a/crates/http1/src/client.rs
+++ b/crates/http1/src/client.rs
@@ -12,6 +12,7 @@
 use socket2::SockRef;
 use std::cell::{Cell, RefCell};
 use std::io::{ErrorKind, Read, Result};
+use std::mem::MaybeUninit;
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{Context, Poll};
@@ -69,6 +70,13 @@
         })
     }
 
+    /// Whether something has come that nobody has read: what is about to be closed may have a request in it.
+    pub fn has_unread(&self) -> bool {
+        let mut byte = [MaybeUninit::uninit()];
+        let came = SockRef::from(&*self.stream.borrow()).peek(&mut byte);
+        !self.ahead.borrow().is_empty() || came.is_ok_and(|bytes| bytes > 0)
+    }
+
     /// Keeps what can be read now, and tells whether the end was among it.
     fn reads_to_the_end(&self, mut read: impl FnMut(&mut [u8]) -> Poll<Result<usize>>) -> bool {
         let mut piece = [0; PIECE];
--- a/crates/http1/src/guard.rs
+++ b/crates/http1/src/guard.rs
@@ -85,6 +85,11 @@
         self.stage.set(Stage::Idle(Instant::now()));
     }
 
+    /// Whether its request should have come whole so long ago that nothing that comes now is waited for.
+    pub fn overdue(&self) -> bool {
+        matches!(self.stage.get(), Stage::Asking(since) if since.elapsed() >= REQUEST_WAIT + 2 * LATER)
+    }
+
     /// Comes back when the connection is to be closed, and no request has come whole meanwhile.
     pub async fn cut(&self) {
         loop {
--- a/crates/http1/src/listener.rs
+++ b/crates/http1/src/listener.rs
@@ -15,6 +15,7 @@
 use hyper::{HeaderMap, Method, Request, Response, StatusCode};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use metrics::counter;
+use socket2::SockRef;
 use state::{Answer, Input};
 use std::cell::Cell;
 use std::convert::Infallible;
@@ -219,6 +220,10 @@
     /// Accepts connections until another process does or the phase is `Closing`, and what the system has accepted for
     /// this one alone by then.
     pub async fn accept(self: Rc<Self>, socket: TcpListener) {
+        // Those that are accepted from it have it from the first byte on.
+        if let Err(e) = SockRef::from(&socket).set_tcp_nodelay(true) {
+            debug!("can't set TCP_NODELAY: {e}");
+        }
         let mut phase = self.phase.clone();
         loop {
             if *self.phase.borrow() == Phase::Succeeded {
@@ -267,14 +272,14 @@
 
     /// Comes back once a connection that waits for nothing may be closed. Requests that have come, but that nobody has
     /// looked for yet, are read first: the system is asked for them only when a timer or a socket wakes the program.
-    async fn closing(&self, guard: &Guard, number: u64) {
+    async fn closing(&self, guard: &Guard, number: u64, client: &Client<Rc<Guard>>) {
         let mut phase = self.phase.clone();
         if phase.wait_for(|p| *p == Phase::Closing).await.is_err() {
             return std::future::pending().await;
         }
         tokio::time::sleep(CLOSING_LOOK * (1 + (number % CLOSING_SPREAD) as u32)).await;
         let until = Instant::now() + REQUEST_WAIT;
-        while guard.amid() && Instant::now() < until {
+        while (guard.amid() || client.has_unread()) && Instant::now() < until {
             tokio::time::sleep(CLOSING_LOOK).await;
         }
     }
@@ -294,7 +299,7 @@
             let result = tokio::select! {
                 biased;
                 result = poll_fn(|cx| conn.poll_without_shutdown(cx)) => result,
-                () = self.closing(&guard, number) => {
+                () = self.closing(&guard, number, &client) => {
                     Pin::new(&mut conn).graceful_shutdown();
                     poll_fn(|cx| conn.poll_without_shutdown(cx)).await
                 }
@@ -304,10 +309,19 @@
             }
             linger(conn).await;
         };
+        let cut = async {
+            loop {
+                guard.cut().await;
+                // It may just have asked, and nobody has looked yet.
+                if guard.overdue() || !client.has_unread() {
+                    return;
+                }
+            }
+        };
         tokio::select! {
             biased;
             () = served => {}
-            () = guard.cut() => debug!("a client's connection that asks nothing is closed"),
+            () = cut => debug!("a client's connection that asks nothing is closed"),
             // Dropped with it, the flow tells the decisions.
             () = poll_fn(|cx| if guard.waits() { client.poll_gone(cx) } else { Poll::Pending }) => {
                 debug!("a client has left before its answer");
--- a/crates/http1/src/target.rs
+++ b/crates/http1/src/target.rs
@@ -21,7 +21,7 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::net::TcpStream;
+use tokio::net::{TcpSocket, TcpStream};
 use tokio::sync::mpsc;
 use tokio::time::sleep;
 use tracing::{debug, warn};
@@ -118,7 +118,7 @@
         biased;
         // Nothing is ordered before the connection is up, so an end of orders is all that can come.
         _ = orders.recv() => {}
-        stream = TcpStream::connect(addr) => match stream {
+        stream = connect(addr) => match stream {
             Ok(stream) => serve(id, stream, &mut orders, &desk, &outgoing).await,
             Err(e) => debug!(%addr, "can't connect: {e}"),
         }
@@ -128,6 +128,15 @@
     desk.report(Input::Closed { conn: id, unsent });
 }
 
+async fn connect(addr: SocketAddr) -> std::io::Result<TcpStream> {
+    let socket = if addr.is_ipv4() { TcpSocket::new_v4() } else { TcpSocket::new_v6() }?;
+    // Small writes that the system holds back are lost with the connection.
+    if let Err(e) = socket.set_nodelay(true) {
+        debug!("can't set TCP_NODELAY: {e}");
+    }
+    socket.connect(addr).await
+}
+
 async fn serve(
     id: ConnId,
     stream: TcpStream,
@@ -135,9 +144,6 @@
     desk: &Desk,
     outgoing: &Rc<Outgoing>,
 ) {
-    if let Err(e) = stream.set_nodelay(true) {
-        debug!("can't set TCP_NODELAY: {e}");
-    }
     let io = TokioIo::new(Observed::new(stream, Rc::clone(outgoing)));
     let Ok((mut sender, conn)) = http1::handshake::<_, Full<Bytes>>(io).await else { return };
     tokio::pin!(conn);
