--- a/crates/fordrelay/tests/crossings.rs
+++ b/crates/fordrelay/tests/crossings.rs
@@ -417,3 +417,32 @@
     let conns: Vec<_> = target.seen.try_iter().filter(|(_, m)| m.is_some()).map(|(conn, _)| conn).collect();
     assert!(conns.len() == 2 && conns[0] != conns[1], "{conns:?}");
 }
+
+/// Guards against a request that runs with another's class or limits: two classes take turns on one connection, while the
+/// configuration is read again with other limits, and the classes the other way round. These count from the next start.
+#[test]
+fn requests_of_two_classes_on_one_connection_keep_their_own_limits_across_a_reload() {
+    let target = serving();
+    let (addr, _calls) = discovery(vec![]);
+    let known = list(1, true, &[(target.addr, "ready")]);
+    let shorter = [("\"hard-limit-ms\":60000", "\"hard-limit-ms\":7000")];
+    let mut program = Program::told(&known, addr, (1_024, 1_024), &shorter);
+    let text = std::fs::read_to_string(&program.config).unwrap();
+    let mut client = program.connect();
+    for round in 0..6 {
+        if round % 2 == 1 {
+            let other = text.replace("7000", &format!("{}", 1_000 + round));
+            let other = other.replace("\"watch\"", "\"x\"").replace("\"settle\"", "\"watch\"");
+            std::fs::write(&program.config, other.replace("\"x\"", "\"settle\"")).unwrap();
+            program.signal("HUP");
+            program.wait_for("was read again");
+        }
+        for (class, most) in [("watch", 7.0), ("settle", 50.0)] {
+            client.get_mut().write_all(with_id(class, &format!("{class}-{round}")).as_bytes()).unwrap();
+            assert_eq!(read(&mut client).unwrap().status(), "200");
+            let seen = target.seen.recv().unwrap().1.unwrap();
+            let deadline: f64 = seen.header("req-deadline").unwrap().parse().unwrap();
+            assert!((most - 0.5..=most).contains(&deadline), "{class} in round {round}: {deadline}");
+        }
+    }
+}
