Wait for loads only where reports tell them, and ask a lost agent less often

Calls beside a silent agent are 50 ms apart instead of 10: one that refuses at once would have been asked 100 times a second, a large part of a processor budget of 8 ms a second.

--- a/crates/discovery/src/lib.rs
+++ b/crates/discovery/src/lib.rs
@@ -37,12 +37,12 @@
 /// Where lists are pushed, the agent on this machine has nobody else to answer, and what it has counts at once, also what it
 /// hears right after an outage. It is silent meanwhile, and a call that was made then is never answered: so a watch there is
 /// short, and one that is not answered in time has others made beside it. From the agent's return to its answer it takes
-/// these three together at most, well within the time in which sends to a target that drains must end.
+/// these two last ones together, or the first two, at most, well within the time in which sends to a target that drains must end.
 const AGENT_WATCH: Duration = Duration::from_millis(100);
 /// ... the time that an agent's answer usually takes, with a processor that is shared ...
 const AGENT_ANSWER: Duration = Duration::from_millis(60);
 /// ... and the pause between calls that fail.
-const AGENT_PAUSE: Duration = Duration::from_millis(10);
+const AGENT_PAUSE: Duration = Duration::from_millis(50);
 /// ... and beyond that again, for what lies in the socket: a process that was stopped finds its time up before it has read
 /// what it was told meanwhile.
 const UNREAD_WAIT: Duration = Duration::from_millis(50);
--- a/crates/settings/src/facts.rs
+++ b/crates/settings/src/facts.rs
@@ -145,6 +145,25 @@
     Ok(Some(RetryBudget { minimum: minimum as u32, ratio: r.extra_ratio.unwrap_or(0.0), window }))
 }
 
+impl Specifics {
+    /// Whether `x0` counts free slots.
+    pub fn x0_is_slots(&self) -> bool {
+        self.report_x0.as_deref().is_none_or(|text| text.contains("free slots"))
+    }
+}
+
+impl ReportFacts {
+    /// Whether a report says what its target holds, or has free.
+    fn tell_loads(&self, specifics: &Specifics) -> bool {
+        let tells = |name: &String| match name.as_str() {
+            "x0" => specifics.x0_is_slots(),
+            "concurrent" | "inflight" => true,
+            _ => false,
+        };
+        self.via != "none" && self.names.as_ref().is_none_or(|names| names.iter().any(tells))
+    }
+}
+
 /// What the decisions take from it.
 pub fn settings(f: &Facts) -> Result<Settings, SettingsError> {
     let x = &f.specifics;
@@ -193,7 +212,7 @@
         } else {
             Discovery::Pushed
         },
-        reports: match f.report.as_ref().map(|r| r.via.as_str()) {
+        reports: match f.report.as_ref().filter(|r| r.tell_loads(x)).map(|r| r.via.as_str()) {
             Some("answers") => Reports::Outcomes,
             Some("probe") => Reports::Probes,
             _ => Reports::None,
@@ -205,7 +224,8 @@
             attempts: f.allowed.attempts_cap,
             concurrent_attempts: f.allowed.second_copies,
             cancel: f.allowed.may_cancel,
-            probe: f.allowed.probes,
+            // A probe whose report says nothing of loads would be waited for in vain.
+            probe: f.allowed.probes && f.report.as_ref().is_some_and(|r| r.tell_loads(x)),
             probe_price: cost("probe"),
             cross_zone_price: cost("cross-zone"),
             connect_price: cost("handshake"),
--- a/crates/settings/src/platform.rs
+++ b/crates/settings/src/platform.rs
@@ -357,7 +357,6 @@
             }
             _ => None,
         };
-        let x0 = facts.specifics.report_x0.as_deref();
         Ok(Config {
             name: file.name.or_else(|| variable("ROUTER_NAME")).unwrap_or_default(),
             listen,
@@ -372,7 +371,7 @@
             tenants: facts.tenants.into_iter().flatten().map(|t| t.name).collect(),
             zones: facts.zones,
             kinds: facts.models,
-            reports: ReportNames { x0_is_slots: x0.is_none_or(|text| text.contains("free slots")) },
+            reports: ReportNames { x0_is_slots: facts.specifics.x0_is_slots() },
             client_connections: (shared - target_connections).min(buffers),
             target_connections,
             open_flows: facts.allowed.max_open.unwrap_or(MAX_OPEN),
--- a/crates/settings/tests/platform.rs
+++ b/crates/settings/tests/platform.rs
@@ -1,5 +1,6 @@
 //! The configuration: defaults, and messages that name the faulty key.
 
+use api::Reports;
 use rstest::rstest;
 use settings::platform::Config;
 
@@ -48,3 +49,27 @@
     let error = parse(&text.replace(good, bad)).unwrap_err();
     assert!(error.starts_with(message), "{error}");
 }
+
+/// Guards against a dispatcher that waits for loads which no report of its deployment tells, be it that there are none, or that
+/// they name other things.
+#[rstest]
+#[case::none("", Reports::None, false)]
+#[case::via_none(r#""report":{"via":"none"},"#, Reports::None, false)]
+#[case::free_slots(r#""report":{"via":"probe","names":["x0","queue"]},"#, Reports::Probes, true)]
+#[case::held(r#""report":{"via":"answers","names":["concurrent"]},"#, Reports::Outcomes, true)]
+#[case::not_named(r#""report":{"via":"answers"},"#, Reports::Outcomes, true)]
+#[case::no_loads(r#""report":{"via":"answers","names":["mean_ms","tps"]},"#, Reports::None, false)]
+#[case::another_x0(
+    r#""specifics":{"report-x0":"free memory"},"report":{"via":"probe","names":["x0"]},"#,
+    Reports::None,
+    false
+)]
+fn only_reports_that_tell_loads_are_asked_for(
+    #[case] report: &str,
+    #[case] reports: Reports,
+    #[case] probe: bool,
+) {
+    let text = GOOD.replace(r#""settings":{"#, &format!(r#""settings":{{{report}"#));
+    let settings = parse(&text.replace(r#""peers":true"#, r#""peers":true,"probes":true"#)).unwrap().settings;
+    assert_eq!((settings.reports, settings.limits.probe), (reports, probe));
+}
