Owe an answer to its last byte, and cut it off for nobody else's place

A connection counted as idle from the moment in which its answer was there, not from the one in which it was written (http1/guard.rs, idle() called by respond): with all places taken, the one that had been "idle" for longest was closed, amid an answer that its client took slowly. Seen in a test with a small receive window and segments as on a network: the answer ended early. It now is in a stage of its own until hyper has flushed the last byte; it is not closed for room, and after 10 s at the latest.

--- a/crates/fordrelay/tests/crossings.rs
+++ b/crates/fordrelay/tests/crossings.rs
@@ -446,3 +446,30 @@
         }
     }
 }
+
+/// An answer is owed to its last byte: one that its client takes slowly was cut off once others wanted its place.
+#[test]
+fn an_answer_that_is_taken_slowly_is_not_cut_off_for_others() {
+    const LONG: usize = 400_000;
+    let target = peer(|m| {
+        let done = DONE.replace("r\\u00fcn", &"x".repeat(LONG));
+        Some(if m.header("req-id") == Some("long") { lines(m, &[&done]) } else { lines(m, &[STARTED, DONE]) })
+    });
+    let (addr, _calls) = discovery(vec![]);
+    let program = Program::start(&list(1, true, &[(target.addr, "ready")]), addr, 90);
+    let socket = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).unwrap();
+    // As on a network: the system holds back little of what the other side has no room for.
+    socket.set_recv_buffer_size(4_096).unwrap();
+    socket.set_tcp_mss(536).unwrap();
+    socket.connect(&program.addr.into()).unwrap();
+    let mut slow = BufReader::new(TcpStream::from(socket));
+    slow.get_mut().set_read_timeout(Some(NEVER)).unwrap();
+    slow.get_mut().write_all(with_id("settle", "long").as_bytes()).unwrap();
+    while !program.call("GET", "/-/metrics").1.contains(r#"svc_responses{kind="settle",result="ok"} 1"#) {}
+    let mut others: Vec<_> = (0..60).map(|_| program.connect()).collect();
+    for (n, other) in others.iter_mut().enumerate() {
+        let _ = other.get_mut().write_all(with_id("watch", &format!("x{n}")).as_bytes());
+    }
+    assert_eq!(others.iter_mut().filter_map(read).filter(|m| m.status() == "200").count(), 60);
+    assert_eq!(read(&mut slow).expect("the whole answer").body.len(), LONG);
+}
--- a/crates/http1/src/client.rs
+++ b/crates/http1/src/client.rs
@@ -152,7 +152,12 @@
     }
 
     fn poll_flush(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<Result<()>> {
-        Pin::new(&mut *self.0.stream.borrow_mut()).poll_flush(cx)
+        let result = Pin::new(&mut *self.0.stream.borrow_mut()).poll_flush(cx);
+        // hyper flushes once nothing of an answer is left to be written.
+        if matches!(result, Poll::Ready(Ok(()))) {
+            self.0.observer.flushed();
+        }
+        result
     }
 
     fn poll_shutdown(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<Result<()>> {
--- a/crates/http1/src/guard.rs
+++ b/crates/http1/src/guard.rs
@@ -15,6 +15,8 @@
 
 /// A request must have come whole this long after its connection, or after its first byte on one that is used again.
 pub(super) const REQUEST_WAIT: Duration = Duration::from_secs(2);
+/// An answer that its client has not taken after so long is none any more: no client waits for so much longer than its deadline.
+const WRITE_WAIT: Duration = Duration::from_secs(10);
 /// How much later a connection is closed whose request could not even be answered.
 const LATER: Duration = Duration::from_millis(150);
 /// A connection that has asked nothing for so long may be closed to make room: a usual client asks at once, and
@@ -28,6 +30,8 @@
     Asking(Instant),
     /// The answer.
     Answering,
+    /// That its client takes the answer: it is owed to its last byte.
+    Writing(Instant),
     /// The next request, of which nothing has come.
     Idle(Instant),
 }
@@ -48,7 +52,7 @@
     pub fn asking_since(&self) -> Instant {
         match self.stage.get() {
             Stage::Asking(since) | Stage::Idle(since) => since,
-            Stage::Answering => Instant::now(),
+            Stage::Answering | Stage::Writing(_) => Instant::now(),
         }
     }
 
@@ -78,16 +82,28 @@
         self.head.borrow_mut().stop();
     }
 
-    /// The answer is on its way.
-    pub fn idle(&self) {
+    /// The answer is there, and is written from now on.
+    pub fn answered(&self) {
         self.amid.set(false);
         self.head.borrow_mut().begin();
-        self.stage.set(Stage::Idle(Instant::now()));
+        self.stage.set(Stage::Writing(Instant::now()));
     }
 
-    /// Whether its request should have come whole so long ago that nothing that comes now is waited for.
+    /// All that there was to write has been written.
+    fn written(&self) {
+        if matches!(self.stage.get(), Stage::Writing(_)) {
+            let next = if self.amid.get() { Stage::Asking } else { Stage::Idle };
+            self.stage.set(next(Instant::now()));
+        }
+    }
+
+    /// Whether its request should have come whole, or its answer been taken, so long ago that nothing more is waited for.
     pub fn overdue(&self) -> bool {
-        matches!(self.stage.get(), Stage::Asking(since) if since.elapsed() >= REQUEST_WAIT + 2 * LATER)
+        match self.stage.get() {
+            Stage::Asking(since) => since.elapsed() >= REQUEST_WAIT + 2 * LATER,
+            Stage::Writing(since) => since.elapsed() >= WRITE_WAIT,
+            Stage::Answering | Stage::Idle(_) => false,
+        }
     }
 
     /// Comes back when the connection is to be closed, and no request has come whole meanwhile.
@@ -149,10 +165,15 @@
         self.open.borrow().len()
     }
 
-    /// Closes those whose request has not come whole in time.
+    /// Closes those whose request has not come whole in time, or that don't take their answer.
     pub fn sweep(&self) {
         for guard in self.open.borrow().values() {
-            if matches!(guard.stage.get(), Stage::Asking(since) if since.elapsed() >= REQUEST_WAIT + LATER) {
+            let most = match guard.stage.get() {
+                Stage::Asking(since) => Some((since, REQUEST_WAIT + LATER)),
+                Stage::Writing(since) => Some((since, WRITE_WAIT)),
+                Stage::Answering | Stage::Idle(_) => None,
+            };
+            if most.is_some_and(|(since, most)| since.elapsed() >= most) {
                 guard.cut.notify_one();
             }
         }
@@ -165,7 +186,7 @@
             Stage::Asking(since) if since.elapsed() >= YOUNG => Some((0, since)),
             Stage::Idle(since) if since.elapsed() >= YOUNG => Some((1, since)),
             Stage::Asking(since) | Stage::Idle(since) => Some((2, since)),
-            Stage::Answering => None,
+            Stage::Answering | Stage::Writing(_) => None,
         };
         let first =
             open.values().filter_map(|guard| Some((rank(guard)?, guard))).min_by_key(|(rank, _)| *rank);
@@ -184,6 +205,10 @@
     fn read(&self, bytes: &[u8]) {
         self.heard(bytes);
     }
+
+    fn flushed(&self) {
+        self.written();
+    }
 }
 
 #[cfg(test)]
--- a/crates/http1/src/guard/tests.rs
+++ b/crates/http1/src/guard/tests.rs
@@ -10,15 +10,20 @@
     std::pin::pin!(guard.cut()).poll(&mut Context::from_waker(waker)).is_ready()
 }
 
+fn rests(guard: &Guard) {
+    guard.answered();
+    guard.written();
+}
+
 /// Guards against a usual client that is cut between its requests or amid one.
 #[tokio::test(start_paused = true)]
 async fn only_a_request_that_does_not_come_ends_a_connection() {
     let guards = Guards::default();
     let [asking, answering, idle, again] = [(); 4].map(|()| guards.enter().1);
     answering.answering();
-    idle.idle();
+    rests(&idle);
     advance(REQUEST_WAIT).await;
-    again.idle();
+    rests(&again);
     again.heard(b"P");
     advance(LATER).await;
     guards.sweep();
@@ -34,7 +39,7 @@
     let guards = Guards::default();
     let [asking, idle, answering] = [(); 3].map(|()| guards.enter());
     answering.1.answering();
-    idle.1.idle();
+    rests(&idle.1);
     assert_eq!(guards.make_room(), Room::Later, "all may ask in a moment");
     advance(YOUNG).await;
     assert_eq!(guards.make_room(), Room::Soon);
@@ -46,3 +51,23 @@
     assert_eq!((guards.make_room(), guards.len()), (Room::None, 1));
     assert!(!is_cut(&answering.1));
 }
+
+/// Guards against an answer that is cut off: its client reads slowly, and others want its place.
+#[tokio::test(start_paused = true)]
+async fn an_answer_is_owed_to_its_last_byte_and_not_for_ever() {
+    let guards = Guards::default();
+    let [slow, next] = [(); 2].map(|()| guards.enter());
+    slow.1.answered();
+    next.1.answered();
+    next.1.heard(b"P");
+    advance(YOUNG).await;
+    assert_eq!(guards.make_room(), Room::None);
+    next.1.written();
+    advance(REQUEST_WAIT + LATER).await;
+    guards.sweep();
+    assert!(is_cut(&next.1), "what came behind the answer is a request that does not come whole");
+    assert!(!is_cut(&slow.1));
+    advance(WRITE_WAIT).await;
+    guards.sweep();
+    assert!(is_cut(&slow.1) && slow.1.overdue());
+}
--- a/crates/http1/src/listener.rs
+++ b/crates/http1/src/listener.rs
@@ -355,7 +355,7 @@
         if ends {
             response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
         }
-        guard.idle();
+        guard.answered();
         Ok(response)
     }
 
