--- a/crates/decide/src/constants.rs
+++ b/crates/decide/src/constants.rs
@@ -15,7 +15,7 @@
 pub const RESCAN: f64 = 0.02; // workers are looked through once in this share of a mean run
 pub const SAMPLE: usize = 24; // workers in a look at most: its cost must not grow with the fleet
 pub const HOMES: usize = 3; // workers meant for a key, to which its jobs go at once: what they need is kept
-pub const HOMES_FEW: usize = 8; // ... where few are known: asked one after the other, so that a wanted key has room
+pub const HOMES_FEW: usize = 8; // ... where few are known, asked in turn: a wanted key has room
 pub const KIN: f64 = 40.0; // a home draws its jobs so many times more than the next one
 pub const AWAY: f64 = 0.5; // mean runs after which a job may go to any other, too
 pub const RARE: f64 = 8.0; // dispatchers up to which each finds out soon enough what can't be reached
@@ -24,7 +24,7 @@
 pub const RUN_CAP: f64 = 4.0; // expected runs that one counts for in a pace: a long job doesn't make it slow
 
 pub const PROBE_SPEND: f64 = 0.005; // share of all worth, on probes: little against what a crowded pick loses
-pub const PROBE_SPEND_HOMES: f64 = 0.02; // ... where few workers are known, for a job with homes: it saves a fetch
+pub const PROBE_SPEND_HOMES: f64 = 0.02; // ... for a job with homes where few are known: saves a fetch
 pub const KNOWN: f64 = 0.8; // share of what a worker holds that must be known, or probes go ahead of a job
 pub const SCOUTS: usize = 2; // probes out for a held job
 pub const MOST_SCOUTS: usize = 8; // ... and for all of them
--- a/crates/decide/src/figures.rs
+++ b/crates/decide/src/figures.rs
@@ -93,11 +93,6 @@
         self.settings.live_weights && self.fleet.ready.len() > SAMPLE
     }
 
-    /// A look is only a part of the fleet, and no list tells its loads: a dispatcher knows what it asks just now.
-    pub(super) fn sees_few(&self) -> bool {
-        self.fleet.ready.len() > SAMPLE && !self.told_loads()
-    }
-
     /// Takes in what a list's live weights say of the workers' loads.
     pub(super) fn heed_weights(&mut self, list: ListKind, entries: &[Listing]) {
         if !self.told_loads() {
--- a/crates/decide/src/placing.rs
+++ b/crates/decide/src/placing.rs
@@ -85,7 +85,7 @@
         // Where no news of the homes will come, there is nothing to wait for.
         let away = self.told_loads() || waited > AWAY * self.mean_run();
         let blind = !self.scouting();
-        // Where few are known a home comes after those before it have been asked, and any other after all of them.
+        // Where few are known a home comes once those before it were asked, and any other once all were.
         let turn = |c: &Candidate| match self.sees_few() {
             true => blind || job.homes.iter().take(rank(c)).all(|home| self.is_asked(*home)),
             false => rank(c) < HOMES,
--- a/crates/decide/src/probing.rs
+++ b/crates/decide/src/probing.rs
@@ -80,6 +80,11 @@
         out.push(Action::Probe { worker: id });
     }
 
+    /// A look is a part of the fleet, and no list tells its loads: a dispatcher knows whom it asks just now.
+    pub(crate) fn sees_few(&self) -> bool {
+        self.fleet.ready.len() > SAMPLE && !self.told_loads()
+    }
+
     /// The homes of a job where few workers are known.
     pub(crate) fn most_homes(&self) -> usize {
         if self.sees_few() {
--- a/crates/decide/src/repeating.rs
+++ b/crates/decide/src/repeating.rs
@@ -60,8 +60,8 @@
         open && fits() && self.repeat_ok(job, Some(worker)) && self.cold_ok(job, w)
     }
 
-    /// The attempt that was asked for last can be sent now: what held when it was, may hold no more once its connection
-    /// is up. It is the last look before the socket.
+    /// The attempt that was asked for last can be sent now. What held when it was chosen may hold no more once
+    /// its connection is up: the last look before the socket.
     pub fn may_start(&mut self, now: Micros, id: JobId, worker: WorkerId) -> bool {
         self.now = self.now.max(now);
         let Some(job) = self.jobs.get(&id).filter(|j| !j.over && self.now < j.spec.expires) else {
--- a/crates/fordrelay/tests/common/mod.rs
+++ b/crates/fordrelay/tests/common/mod.rs
@@ -8,6 +8,7 @@
 use std::process::{Child, Command, Stdio};
 use std::sync::mpsc::{channel, Receiver, Sender};
 use std::thread;
+use std::time::Duration;
 
 /// One request or answer: its first line, its header lines in lower case, its body.
 #[derive(Debug, Clone)]
@@ -276,6 +277,19 @@
     )
 }
 
+/// Longer than anything that is waited for here; it is reached only where a test fails.
+pub const NEVER: Duration = Duration::from_secs(10);
+
+pub fn with_id(class: &str, id: &str) -> String {
+    job(class).replace("9b1f", id)
+}
+
+/// The ids of the jobs that a target has seen.
+pub fn ids(target: &Receiver<(usize, Option<Message>)>) -> Vec<String> {
+    let seen = target.try_iter().filter_map(|(_, message)| message);
+    seen.filter_map(|m| m.header("req-id").map(str::to_owned)).collect()
+}
+
 /// One target, known from the start, and a discovery that has nothing to add.
 pub fn with_target(target: &Peer) -> (Program, Receiver<(usize, Option<Message>)>) {
     let (addr, calls) = discovery(vec![]);
