--- a/crates/decide/src/repeating.rs
+++ b/crates/decide/src/repeating.rs
@@ -60,7 +60,7 @@
         open && fits() && self.repeat_ok(job, Some(worker)) && self.cold_ok(job, w)
     }
 
-    /// The attempt that was asked for last can be sent now. What held when it was chosen may hold no more once
+    /// The last attempt asked for can be sent now. What held when it was chosen may hold no more once
     /// its connection is up: the last look before the socket.
     pub fn may_start(&mut self, now: Micros, id: JobId, worker: WorkerId) -> bool {
         self.now = self.now.max(now);
