--- a/crates/fordrelay/tests/common/mod.rs
+++ b/crates/fordrelay/tests/common/mod.rs
@@ -60,19 +60,27 @@
     pub seen: Receiver<(usize, Option<Message>)>,
 }
 
-pub fn peer(script: impl Fn(&Message) -> Option<String> + Send + Sync + Clone + 'static) -> Peer {
+type Seen = (usize, Option<Message>);
+
+/// A peer that serves each connection in a thread of its own, by its number.
+pub fn listening(serve: impl Fn(usize, TcpStream, &Sender<Seen>) + Send + Sync + 'static) -> Peer {
     let socket = TcpListener::bind("127.0.0.1:0").unwrap();
     let addr = socket.local_addr().unwrap();
     let (sender, seen) = channel();
+    let serve = std::sync::Arc::new(serve);
     thread::spawn(move || {
         for (number, stream) in socket.incoming().flatten().enumerate() {
-            let (sender, script) = (sender.clone(), script.clone());
-            thread::spawn(move || talk(number, stream, &sender, script));
+            let (sender, serve) = (sender.clone(), std::sync::Arc::clone(&serve));
+            thread::spawn(move || serve(number, stream, &sender));
         }
     });
     Peer { addr, seen }
 }
 
+pub fn peer(script: impl Fn(&Message) -> Option<String> + Send + Sync + Clone + 'static) -> Peer {
+    listening(move |number, stream, seen| talk(number, stream, seen, script.clone()))
+}
+
 pub fn talk(
     number: usize,
     stream: TcpStream,
@@ -94,26 +102,17 @@
 }
 
 /// A peer that never answers where its script says nothing, and keeps that connection open.
-pub fn silent_peer(script: impl Fn(&Message) -> Option<String> + Send + Sync + Clone + 'static) -> Peer {
-    let socket = TcpListener::bind("127.0.0.1:0").unwrap();
-    let addr = socket.local_addr().unwrap();
-    let (sender, seen) = channel();
-    thread::spawn(move || {
-        for (number, stream) in socket.incoming().flatten().enumerate() {
-            let (sender, script) = (sender.clone(), script.clone());
-            thread::spawn(move || {
-                let mut stream = BufReader::new(stream);
-                while let Some(message) = read(&mut stream) {
-                    let _ = sender.send((number, Some(message.clone())));
-                    if let Some(text) = script(&message) {
-                        let _ = stream.get_mut().write_all(text.as_bytes());
-                    }
-                }
-                let _ = sender.send((number, None));
-            });
+pub fn silent_peer(script: impl Fn(&Message) -> Option<String> + Send + Sync + 'static) -> Peer {
+    listening(move |number, stream, seen| {
+        let mut stream = BufReader::new(stream);
+        while let Some(message) = read(&mut stream) {
+            let _ = seen.send((number, Some(message.clone())));
+            if let Some(text) = script(&message) {
+                let _ = stream.get_mut().write_all(text.as_bytes());
+            }
         }
-    });
-    Peer { addr, seen }
+        let _ = seen.send((number, None));
+    })
 }
 
 pub fn plain(status: &str, body: &str) -> String {
--- a/crates/fordrelay/tests/spoilt.rs
+++ b/crates/fordrelay/tests/spoilt.rs
@@ -5,38 +5,27 @@
 use common::*;
 use rstest::rstest;
 use std::io::{BufReader, Write};
-use std::net::TcpListener;
-use std::sync::mpsc::channel;
-use std::sync::{Arc, Mutex};
+use std::sync::Mutex;
 use std::thread;
 use std::time::{Duration, Instant};
 
 /// A target whose answer that it has not taken a job comes twice, the second time some milliseconds late.
 fn declines_twice() -> Peer {
-    let socket = TcpListener::bind("127.0.0.1:0").unwrap();
-    let addr = socket.local_addr().unwrap();
-    let (sender, seen) = channel();
-    thread::spawn(move || {
-        let first = Arc::new(Mutex::new(true));
-        for (number, stream) in socket.incoming().flatten().enumerate() {
-            let (sender, first) = (sender.clone(), Arc::clone(&first));
-            thread::spawn(move || {
-                let mut stream = BufReader::new(stream);
-                while let Some(message) = read(&mut stream) {
-                    let _ = sender.send((number, Some(message.clone())));
-                    let declined = "HTTP/1.1 503 Busy\r\nSrv-Declined: 1\r\nContent-Length: 0\r\n\r\n";
-                    if std::mem::take(&mut *first.lock().unwrap()) {
-                        stream.get_mut().write_all(declined.as_bytes()).unwrap();
-                        thread::sleep(Duration::from_millis(90));
-                        let _ = stream.get_mut().write_all(declined.as_bytes());
-                    } else {
-                        let _ = stream.get_mut().write_all(lines(&message, &[STARTED, DONE]).as_bytes());
-                    }
-                }
-            });
+    let first = Mutex::new(true);
+    listening(move |number, stream, seen| {
+        let mut stream = BufReader::new(stream);
+        while let Some(message) = read(&mut stream) {
+            let _ = seen.send((number, Some(message.clone())));
+            let declined = "HTTP/1.1 503 Busy\r\nSrv-Declined: 1\r\nContent-Length: 0\r\n\r\n";
+            if std::mem::take(&mut *first.lock().unwrap()) {
+                stream.get_mut().write_all(declined.as_bytes()).unwrap();
+                thread::sleep(Duration::from_millis(90));
+                let _ = stream.get_mut().write_all(declined.as_bytes());
+            } else {
+                let _ = stream.get_mut().write_all(lines(&message, &[STARTED, DONE]).as_bytes());
+            }
         }
-    });
-    Peer { addr, seen }
+    })
 }
 
 /// An answer that does not say which request it is for, and comes twice: the second one was taken for the answer to the next
@@ -58,33 +47,24 @@
 
 /// A target that says whatever it likes to each request in the first place, and answers as it should from then on.
 fn says_first(text: &'static [u8], then_closes: bool) -> Peer {
-    let socket = TcpListener::bind("127.0.0.1:0").unwrap();
-    let addr = socket.local_addr().unwrap();
-    let (sender, seen) = channel();
-    thread::spawn(move || {
-        let first = Arc::new(Mutex::new(true));
-        for (number, stream) in socket.incoming().flatten().enumerate() {
-            let (sender, first) = (sender.clone(), Arc::clone(&first));
-            thread::spawn(move || {
-                let mut stream = BufReader::new(stream);
-                while let Some(message) = read(&mut stream) {
-                    let _ = sender.send((number, Some(message.clone())));
-                    if !std::mem::take(&mut *first.lock().unwrap()) {
-                        let _ = stream.get_mut().write_all(lines(&message, &[STARTED, DONE]).as_bytes());
-                        continue;
-                    }
-                    let id = message.header("req-id").unwrap_or("").to_owned();
-                    let text = String::from_utf8_lossy(text).replace("ID", &id);
-                    let _ = stream.get_mut().write_all(text.as_bytes());
-                    if then_closes {
-                        break;
-                    }
-                }
-                let _ = sender.send((number, None));
-            });
+    let first = Mutex::new(true);
+    listening(move |number, stream, seen| {
+        let mut stream = BufReader::new(stream);
+        while let Some(message) = read(&mut stream) {
+            let _ = seen.send((number, Some(message.clone())));
+            if !std::mem::take(&mut *first.lock().unwrap()) {
+                let _ = stream.get_mut().write_all(lines(&message, &[STARTED, DONE]).as_bytes());
+                continue;
+            }
+            let id = message.header("req-id").unwrap_or("").to_owned();
+            let text = String::from_utf8_lossy(text).replace("ID", &id);
+            let _ = stream.get_mut().write_all(text.as_bytes());
+            if then_closes {
+                break;
+            }
         }
-    });
-    Peer { addr, seen }
+        let _ = seen.send((number, None));
+    })
 }
 
 /// Whatever a target says, its request has one final answer in time, what may have run is not sent again, nobody else gets what
