Raise the slots of a kind by one a report, where they are read from what is held

Found reading the change again: a report that names no free slots raised the slots of its kind to whatever it said was running, for good (a test: one report of a million, a million slots), and a cold target's budget with it. One report now raises them by one. Seen failing without the mend.

--- a/crates/decide/src/probing.rs
+++ b/crates/decide/src/probing.rs
@@ -17,7 +17,8 @@
         // Where free slots are not told, what is held says as much: all but what waits is running.
         let free = told.unwrap_or_else(|| {
             let held = held.unwrap_or(0.0);
-            kind.seen((held - queued).floor());
+            // By one slot a report: none that is absurd makes a cold worker look large.
+            kind.seen((held - queued).floor().min(kind.slots() + 1.0));
             kind.slots() - held
         });
         if self.now < w.told_until {
--- a/crates/decide/tests/few_known.rs
+++ b/crates/decide/tests/few_known.rs
@@ -101,3 +101,11 @@
     let (asked, done) = rig.answer_probes(taken, |_| held(5.0, 0.0));
     assert!(pushes(&done).contains(&(1, asked[0])), "{asked:?} {done:?}");
 }
+
+#[test]
+fn one_absurd_report_does_not_make_a_worker_look_large() {
+    let mut rig = Rig::new(few_known(Reports::Probes), WORKERS);
+    rig.event(Event::Probed { worker: WorkerId(0), outcome: Outcome::Done, report: Some(held(1.0e6, 0.0)) });
+    let slots = rig.d.figures().kinds.iter().map(|kind| kind.slots).fold(0.0, f64::max);
+    assert!(slots <= 5.0, "{slots}");
+}
