--- a/crates/admin/src/client.rs
+++ b/crates/admin/src/client.rs
@@ -1,9 +1,9 @@
 //! The client of the operators' listener, for the command line.
 
 use bytes::Bytes;
-use http_body_util::{BodyExt, Empty, Limited};
+use http_body_util::{BodyExt, Full, Limited};
 use hyper::client::conn::http1;
-use hyper::{Method, Request, StatusCode};
+use hyper::{HeaderMap, Method, Request, StatusCode};
 use hyper_util::rt::TokioIo;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -40,22 +40,64 @@
     }
 }
 
+/// An answer, whatever it says.
+#[derive(Debug, Clone)]
+pub struct Answer {
+    /// Its status.
+    pub status: StatusCode,
+    /// Its headers.
+    pub headers: HeaderMap,
+    /// Its body, whole.
+    pub body: Bytes,
+}
+
+/// How much time and memory a call may take.
+#[derive(Debug, Clone, Copy)]
+pub struct Patience {
+    /// For the whole of it, the connection included.
+    pub wait: Duration,
+    /// Bytes of the answer.
+    pub largest: usize,
+}
+
 /// Asks, and returns the text of the answer.
 ///
 /// # Errors
 /// Why there is none.
 pub async fn ask(addr: SocketAddr, method: Method, path: &str) -> Result<String, ClientError> {
-    let stream = TcpStream::connect(addr).await.map_err(|error| ClientError::Connect { addr, error })?;
     let broken = |e: &dyn std::fmt::Display| ClientError::Broken(addr, e.to_string());
+    let request = Request::builder().method(method).uri(path).header("host", addr.to_string());
+    let request = request.body(Full::default()).map_err(|e| broken(&e))?;
+    let Answer { status, body, .. } = call(addr, request, Patience { wait: WAIT, largest: LARGEST }).await?;
+    let text = String::from_utf8_lossy(&body).into_owned();
+    match status {
+        StatusCode::OK => Ok(text),
+        status => Err(ClientError::Refused(status, text.trim_end().to_owned())),
+    }
+}
+
+/// Makes a call over a connection of its own, and returns the answer, whatever its status.
+///
+/// # Errors
+/// Why there is none: [`ClientError::Connect`] if nothing of the call was sent.
+pub async fn call(
+    addr: SocketAddr,
+    request: Request<Full<Bytes>>,
+    patience: Patience,
+) -> Result<Answer, ClientError> {
+    let broken = |e: &dyn std::fmt::Display| ClientError::Broken(addr, e.to_string());
+    let deadline = tokio::time::Instant::now() + patience.wait;
+    let stream = match tokio::time::timeout_at(deadline, TcpStream::connect(addr)).await {
+        Ok(stream) => stream.map_err(|error| ClientError::Connect { addr, error })?,
+        Err(e) => return Err(ClientError::Connect { addr, error: e.into() }),
+    };
     let exchange = async {
         let (mut sender, conn) = http1::handshake(TokioIo::new(stream)).await.map_err(|e| broken(&e))?;
-        let request = Request::builder().method(method).uri(path).header("host", addr.to_string());
-        let request = request.body(Empty::<Bytes>::new()).map_err(|e| broken(&e))?;
         let answer = async {
             let response = sender.send_request(request).await.map_err(|e| broken(&e))?;
-            let status = response.status();
-            let body = Limited::new(response.into_body(), LARGEST).collect().await.map_err(|e| broken(&e))?;
-            Ok((status, String::from_utf8_lossy(&body.to_bytes()).into_owned()))
+            let (head, body) = response.into_parts();
+            let body = Limited::new(body, patience.largest).collect().await.map_err(|e| broken(&e))?;
+            Ok(Answer { status: head.status, headers: head.headers, body: body.to_bytes() })
         };
         tokio::pin!(conn);
         tokio::pin!(answer);
@@ -69,10 +111,8 @@
             },
         }
     };
-    match tokio::time::timeout(WAIT, exchange).await {
+    match tokio::time::timeout_at(deadline, exchange).await {
         Err(e) => Err(broken(&e)),
-        Ok(Err(e)) => Err(e),
-        Ok(Ok((StatusCode::OK, text))) => Ok(text),
-        Ok(Ok((status, text))) => Err(ClientError::Refused(status, text.trim_end().to_owned())),
+        Ok(result) => result,
     }
 }
--- a/crates/admin/src/lib.rs
+++ b/crates/admin/src/lib.rs
@@ -8,6 +8,6 @@
 mod server;
 pub mod view;
 
-pub use client::{ask, ClientError};
+pub use client::{ask, call, Answer, ClientError, Patience};
 pub use figures::recorder;
 pub use server::{start, Bounds, Door};
--- /dev/null
+++ b/crates/carrier/src/carrier.rs
@@ -0,0 +1,149 @@
+//! What all parts of the process share.
+
+use crate::choice::Choosing;
+use crate::control::Control;
+use crate::counts::Counts;
+use crate::items::Items;
+use crate::memory::Memory;
+use crate::ready::Readiness;
+use crate::request::Request;
+use crate::stop;
+use http1::{Connections, Phase};
+use hyper::http::response::Parts;
+use lots::wire::StoreMap;
+use peer_link::Links;
+use route_config::Config;
+use slog::{warn, Logger};
+use std::cell::{Cell, RefCell};
+use std::rc::Rc;
+use tier_log::Rarely;
+use tier_settings::Settings;
+use tokio::sync::{watch, Notify};
+use tokio::time::{Duration, Instant};
+
+/// Steady milliseconds since the process started; never 0, which some tables take for never.
+#[derive(Debug, Clone, Copy)]
+pub struct Clock(Instant);
+
+impl Clock {
+    /// It starts now.
+    pub fn start() -> Self {
+        Clock(Instant::now())
+    }
+
+    /// Now.
+    pub fn now(&self) -> u64 {
+        self.0.elapsed().as_millis() as u64 + 1
+    }
+
+    /// The moment of such a time.
+    pub fn instant(&self, ms: u64) -> Instant {
+        self.0 + Duration::from_millis(ms.saturating_sub(1).min(FAR_MS))
+    }
+}
+
+/// A moment beyond all that is waited for.
+const FAR_MS: u64 = 365 * 86_400_000;
+
+/// The process.
+pub struct Carrier {
+    /// Where its lines go.
+    pub log: Logger,
+    /// Its clock.
+    pub clock: Clock,
+    /// Drawn at its start: the holder of its items.
+    pub id: u64,
+    /// The settings that are in force.
+    pub settings: RefCell<Rc<Settings>>,
+    /// The configuration that is in force.
+    pub config: RefCell<Option<Rc<Config>>>,
+    /// Which runner, and the connections to them.
+    pub choice: Choosing,
+    /// What the control plane tells.
+    pub control: Control,
+    /// Items of lots that are held here.
+    pub items: Items,
+    /// Clients' connections.
+    pub connections: Rc<Connections>,
+    /// What clients' bodies may take.
+    pub memory: Memory,
+    /// What happened.
+    pub counts: Counts,
+    /// Connections to the other processes.
+    pub links: Rc<Links>,
+    /// Which stores keep which lots.
+    pub map: RefCell<Option<Rc<StoreMap>>>,
+    /// The map, the configuration or the phase has changed.
+    pub changed: Notify,
+    /// How far it is.
+    pub phase: watch::Sender<Phase>,
+    /// When SIGTERM came.
+    pub stopped: Cell<Option<u64>>,
+    /// It was ready once.
+    pub was_ready: Cell<bool>,
+    /// Lines that would repeat.
+    pub rarely: RefCell<Rarely<&'static str>>,
+}
+
+impl Carrier {
+    /// The configuration that is in force.
+    pub fn config(&self) -> Option<Rc<Config>> {
+        self.config.borrow().clone()
+    }
+
+    /// The map of the stores.
+    pub fn map(&self) -> Option<Rc<StoreMap>> {
+        self.map.borrow().clone()
+    }
+
+    /// What is left for a request's answer: its client's patience, what the route allows, and what this process has left.
+    pub fn left_ms(&self, request: &Request, timeout_ms: u64, now: u64) -> u64 {
+        let left = request.left_ms(now, timeout_ms);
+        match self.stopped.get() {
+            None => left,
+            Some(at) => {
+                let grace = self.settings.borrow().bounds.grace_ms;
+                left.min(stop::answer_within(now.saturating_sub(at), grace))
+            }
+        }
+    }
+
+    /// Whether it was told to stop.
+    pub fn stopping(&self) -> bool {
+        self.stopped.get().is_some()
+    }
+
+    /// Whether clients may come.
+    pub fn is_ready(&self) -> bool {
+        let now = self.clock.now();
+        let readiness = Readiness {
+            configured: self.config.borrow().is_some(),
+            age_ms: self.control.age(now),
+            runners: self.choice.knows_some(),
+            board_at: self.control.board_at(),
+            stopping: self.stopping(),
+            was_ready: self.was_ready.get(),
+        };
+        let ready = readiness.judge(now);
+        if ready {
+            self.was_ready.set(true);
+        }
+        ready
+    }
+
+    /// A line about something that may repeat.
+    pub fn seldom(&self, what: &'static str, write: impl FnOnce(u64)) {
+        if let Some(left_out) = self.rarely.borrow_mut().now(self.clock.now(), what) {
+            write(left_out);
+        }
+    }
+
+    /// A runner's answer that can't be passed on.
+    pub fn odd_answer(&self, what: &'static str, key: crate::choice::Key, head: &Parts) {
+        self.seldom(what, |left_out| {
+            let names: Vec<&str> = head.headers.keys().map(|name| name.as_str()).take(12).collect();
+            warn!(self.log, "{}", what; "code" => 2301, "runner" => self.choice.name(key).as_str(),
+                "status" => head.status.as_u16(), "headers" => names.join(","), "left_out" => left_out);
+        });
+    }
+}
--- /dev/null
+++ b/crates/carrier/src/choice.rs
@@ -0,0 +1,456 @@
+//! Which runner, told in the terms of requests: the choice, the connections, and what each send has come to.
+
+use crate::carrier::Clock;
+use crate::forward::Tried;
+use crate::pool::Pool;
+use crate::queue::{Place, Queue, ITEMS};
+use crate::request::{Request, RUNNER_LOAD};
+use crate::upstream::{Counted, Upstream};
+use compact_str::CompactString;
+use engine_choice::{Choice as Chose, End, Engines, Report, RunnerKey, SendId, SvcTerms, Want};
+use hyper::header::HeaderValue;
+use hyper::HeaderMap;
+use route_config::{Config, Kind, Route};
+use runner_registry::{Runner, RunnerState};
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use tokio::sync::Notify;
+
+/// A runner.
+pub type Key = RunnerKey;
+/// How many of those who wait are called where it is not known how much room there is: a runner came, or a load was told.
+const CALLED_AT_NEWS: usize = 4;
+/// Runners that are known at most: several times the largest deployment.
+const MOST_RUNNERS: usize = 16_384;
+
+/// What is asked.
+pub struct Ask<'a> {
+    /// The request.
+    pub request: &'a Request,
+    /// Its route now.
+    pub route: &'a Route,
+    /// What has become of it so far.
+    pub tried: &'a Tried,
+    /// What is left of its time.
+    pub left_ms: u64,
+    /// Now.
+    pub now: u64,
+    /// Its client has the beginning of its answer.
+    pub amid: bool,
+}
+
+/// What is to be done with a request now.
+pub enum Choice {
+    /// It goes to this runner.
+    Runner(Chosen),
+    /// It waits until then, or until it is called.
+    Hold {
+        /// The time on the process's clock.
+        until: u64,
+    },
+    /// It is refused.
+    Refuse {
+        /// When it may come again.
+        after_ms: u64,
+    },
+}
+
+/// A runner that was chosen.
+pub struct Chosen {
+    /// The runner.
+    pub key: Key,
+    /// Its id.
+    pub id: HeaderValue,
+    /// Its address.
+    pub addr: SocketAddr,
+    /// The send, which counts from now on.
+    pub sending: Sending,
+}
+
+/// The service that was drawn for a request, if one was.
+fn drawn(request: &Request) -> CompactString {
+    request.svc.borrow().clone().unwrap_or_default()
+}
+
+/// What a send has come to.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Word {
+    /// A whole answer.
+    Done,
+    /// The runner's own failure.
+    Failed,
+    /// The runner has no room.
+    Full,
+    /// Another runner has the address.
+    Misdirected,
+    /// No connection came up.
+    NoConnection,
+    /// It was not sent for another reason.
+    Unsent,
+    /// It broke off.
+    Broken,
+    /// Its time was over.
+    TimedOut,
+    /// It was broken off here, to be sent again elsewhere.
+    BrokenOff,
+}
+
+struct Inner {
+    engines: RefCell<Engines>,
+    runners: RefCell<HashMap<CompactString, Rc<Runner>>>,
+    config: RefCell<Option<Rc<Config>>>,
+    pool: Pool,
+    queue: Queue,
+    /// Sends that may be told that their runner seems to hang.
+    calls: RefCell<HashMap<u64, Rc<Notify>>>,
+    seed: Cell<u64>,
+    clock: Clock,
+}
+
+/// The choice among runners.
+#[derive(Clone)]
+pub struct Choosing(Rc<Inner>);
+
+/// A send to a runner, which counts until it has ended. Dropped before, its client has left.
+pub struct Sending {
+    choosing: Choosing,
+    key: Key,
+    svc: CompactString,
+    id: Option<SendId>,
+    overdue: Rc<Notify>,
+}
+
+impl Choosing {
+    /// Nothing is known yet.
+    pub fn new(seed: u64, zone: &str, clock: Clock) -> Self {
+        Choosing(Rc::new(Inner {
+            engines: RefCell::new(Engines::new(seed, zone)),
+            runners: RefCell::default(),
+            config: RefCell::default(),
+            pool: Pool::default(),
+            queue: Queue::default(),
+            calls: RefCell::default(),
+            seed: Cell::new(seed | 1),
+            clock,
+        }))
+    }
+
+    fn now(&self) -> u64 {
+        self.0.clock.now()
+    }
+
+    /// Uniform in 0 to 1.
+    fn unit(&self) -> f64 {
+        // splitmix64: weights of routes need no better.
+        let state = self.0.seed.get().wrapping_add(0x9e37_79b9_7f4a_7c15);
+        self.0.seed.set(state);
+        let mut x = state;
+        x = (x ^ (x >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+        x = (x ^ (x >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+        ((x ^ (x >> 31)) >> 11) as f64 / (1u64 << 53) as f64
+    }
+
+    /// Whether some runner is known.
+    pub fn knows_some(&self) -> bool {
+        !self.0.runners.borrow().is_empty()
+    }
+
+    /// So many processes send to the same runners.
+    pub fn share(&self, dispatchers: usize) {
+        self.0.engines.borrow_mut().share(u32::try_from(dispatchers).unwrap_or(u32::MAX));
+    }
+
+    /// A configuration is in force from now on.
+    pub fn configured(&self, config: &Rc<Config>) {
+        *self.0.config.borrow_mut() = Some(Rc::clone(config));
+        let now = self.now();
+        for runner in self.0.runners.borrow().values() {
+            self.0.engines.borrow_mut().runner(now, runner, self.terms(&runner.svc));
+        }
+    }
+
+    fn terms(&self, svc: &str) -> SvcTerms {
+        let config = self.0.config.borrow();
+        let Some(svc) = config.as_ref().and_then(|config| config.svc(svc)) else {
+            return SvcTerms::default();
+        };
+        SvcTerms {
+            max_conns: svc.max_conns,
+            kv_capacity: svc.backend.as_ref().map(|b| b.kv_capacity).filter(|kv| *kv > 0),
+            llm: svc.backend.is_some(),
+        }
+    }
+
+    /// A runner is new or has changed. Tells whether that is worth a line.
+    pub fn told(&self, now: u64, runner: &Runner) -> bool {
+        if runner.state == RunnerState::Gone {
+            self.gone(&runner.id);
+            return true;
+        }
+        let mut runners = self.0.runners.borrow_mut();
+        if runners.len() >= MOST_RUNNERS && !runners.contains_key(&runner.id) {
+            return false;
+        }
+        self.0.engines.borrow_mut().runner(now, runner, self.terms(&runner.svc));
+        let before = runners.insert(runner.id.clone(), Rc::new(runner.clone()));
+        drop(runners);
+        let same =
+            |old: &Runner| old.state == runner.state && old.addr == runner.addr && old.slots == runner.slots;
+        if runner.state == RunnerState::Draining {
+            self.close(&runner.id);
+        } else {
+            self.0.queue.call(&runner.svc, CALLED_AT_NEWS);
+        }
+        !before.is_some_and(|old| same(&old))
+    }
+
+    /// A runner is gone.
+    pub fn gone(&self, id: &str) {
+        self.close(id);
+        self.0.engines.borrow_mut().remove(id);
+        self.0.runners.borrow_mut().remove(id);
+    }
+
+    fn close(&self, id: &str) {
+        let key = self.0.engines.borrow().key(id);
+        if let Some(key) = key {
+            self.0.pool.close(key);
+        }
+    }
+
+    /// Whether anything new may go to the runner.
+    pub fn usable(&self, key: Key) -> bool {
+        self.0.engines.borrow().usable(key)
+    }
+
+    /// The runner's id, for the log.
+    pub fn name(&self, key: Key) -> CompactString {
+        self.0.engines.borrow().id(key).into()
+    }
+
+    /// A place among those who wait.
+    pub fn queue(&self, request: &Request, prio: u32) -> Place {
+        self.0.queue.enter(drawn(request), prio.min(ITEMS - 1), request.came)
+    }
+
+    /// A place for an item that is due then.
+    pub fn queue_item(&self, request: &Request, due: u64) -> Place {
+        self.0.queue.enter(drawn(request), ITEMS, due)
+    }
+
+    /// Whoever waits looks again.
+    pub fn wake_all(&self) {
+        self.0.queue.call_all();
+    }
+
+    fn want(&self, ask: &Ask<'_>) -> Want {
+        let request = ask.request;
+        let whole = |tokens: u64| u32::try_from(tokens).unwrap_or(u32::MAX);
+        let ms = |ms: u64| u32::try_from(ms).unwrap_or(u32::MAX);
+        let (tokens_in, tokens_out) = request.tokens.map_or((0, 0), |(i, o)| (whole(i), whole(o)));
+        let bulk = ask.route.kind == Kind::Bulk;
+        Want {
+            svc: self.svc_for(request, ask.route),
+            prefix: request.parts.clone(),
+            tokens_in,
+            tokens_out,
+            target_ms: ms(ask.route.target_ms),
+            left_ms: ms(ask.left_ms),
+            // What goes on amid its answer has waited for nothing.
+            waited_ms: if ask.amid { 0 } else { ms(ask.now.saturating_sub(request.came)) },
+            prio: u8::try_from(ask.route.prio).unwrap_or(u8::MAX),
+            tried: ask.tried.runners.clone(),
+            last_try: ask.tried.sends + 1 >= ask.route.tries,
+            repeatable: bulk || ask.route.kind == Kind::Idempotent || ask.route.resumable,
+        }
+    }
+
+    /// The service for a request: drawn by the weights, and kept as long as the route leads there.
+    fn svc_for(&self, request: &Request, route: &Route) -> CompactString {
+        let mut drawn = request.svc.borrow_mut();
+        match &*drawn {
+            Some(svc) if route.leads_to(svc) => svc.clone(),
+            _ => {
+                let svc = CompactString::from(route.pick(self.unit()));
+                *drawn = Some(svc.clone());
+                svc
+            }
+        }
+    }
+
+    /// Where a request goes now.
+    pub fn choose(&self, ask: &Ask<'_>) -> Choice {
+        let want = self.want(ask);
+        let chose = self.0.engines.borrow_mut().choose(ask.now, &want);
+        match chose {
+            Chose::Send { runner } => match self.chosen(ask.now, runner, &want, false) {
+                Some(chosen) => Choice::Runner(chosen),
+                None => Choice::Hold { until: ask.now + 1 },
+            },
+            Chose::Wait { until } => Choice::Hold { until },
+            Chose::Refuse { retry_after_ms } => Choice::Refuse { after_ms: retry_after_ms },
+        }
+    }
+
+    fn chosen(&self, now: u64, key: Key, want: &Want, item: bool) -> Option<Chosen> {
+        let mut engines = self.0.engines.borrow_mut();
+        let id = HeaderValue::from_str(engines.id(key)).ok().filter(|id| !id.is_empty())?;
+        let addr = engines.addr(key);
+        let send = engines.sent(now, key, want, item);
+        drop(engines);
+        let overdue = Rc::new(Notify::new());
+        if want.repeatable {
+            self.0.calls.borrow_mut().insert(send.0, Rc::clone(&overdue));
+        }
+        let sending = Sending { choosing: self.clone(), key, svc: want.svc.clone(), id: Some(send), overdue };
+        Some(Chosen { key, id, addr, sending })
+    }
+
+    /// Where an item of a lot goes now; none: it is held.
+    pub fn choose_item(&self, ask: &Ask<'_>) -> Option<Chosen> {
+        let want = self.want(ask);
+        let key = self.0.engines.borrow_mut().choose_item(ask.now, &want)?;
+        self.chosen(ask.now, key, &want, true)
+    }
+
+    /// How many items of a service may be fetched now.
+    pub fn item_room(&self, now: u64, svc: &str) -> u32 {
+        self.0.engines.borrow().item_room(now, svc)
+    }
+
+    /// Time passes: tells sends whose runner seems to hang, and the runners whose reports are worth their price.
+    pub fn tick(&self, now: u64) -> Vec<(Key, SocketAddr)> {
+        let mut engines = self.0.engines.borrow_mut();
+        for late in engines.overdue(now) {
+            if let Some(call) = self.0.calls.borrow().get(&late.0) {
+                call.notify_one();
+            }
+        }
+        let asked = engines.ask_reports(now);
+        asked.into_iter().map(|key| (key, engines.addr(key))).collect()
+    }
+
+    /// A runner's report, or that none came.
+    pub fn reported(&self, key: Key, report: Option<Report>) {
+        let now = self.now();
+        let mut engines = self.0.engines.borrow_mut();
+        match report {
+            Some(report) => engines.report(now, key, report),
+            None => engines.report_lost(now, key),
+        }
+        let id = CompactString::from(engines.id(key));
+        drop(engines);
+        if let Some(runner) = self.0.runners.borrow().get(&id) {
+            self.0.queue.call(&runner.svc, CALLED_AT_NEWS);
+        }
+    }
+
+    /// A connection for a report, if one is kept.
+    pub fn idle(&self, key: Key) -> Option<Upstream> {
+        self.0.pool.take(key, false)
+    }
+
+    /// A connection that is kept, if there is one fit for this send.
+    pub fn connection(&self, chosen: &Chosen, careful: bool) -> Option<Upstream> {
+        self.0.pool.take(chosen.key, careful)
+    }
+
+    /// Whether one more connection may be opened to the runner.
+    pub fn may_open(&self, key: Key) -> bool {
+        self.0.pool.open(key) < self.0.engines.borrow().connections(key) as usize
+    }
+
+    /// Counts a connection to the runner.
+    pub fn counted(&self, key: Key) -> Counted {
+        self.0.pool.counted(key)
+    }
+
+    /// Keeps a connection for the next send.
+    pub fn keep(&self, key: Key, upstream: Upstream) {
+        if self.usable(key) {
+            self.0.pool.put(key, upstream);
+        }
+    }
+
+    /// Closes connections that are kept for too long.
+    pub fn sweep(&self) {
+        self.0.pool.sweep();
+    }
+
+    /// Requests and items that wait for a runner.
+    pub fn waiting(&self) -> usize {
+        self.0.queue.len()
+    }
+}
+
+impl Sending {
+    /// The runner.
+    pub fn key(&self) -> Key {
+        self.key
+    }
+
+    /// What the head of an answer tells of the runner's load.
+    pub fn heard(&self, headers: &HeaderMap) {
+        let load = headers.get(RUNNER_LOAD).and_then(|value| {
+            let mut figures = value.to_str().ok()?.split(',').map(|figure| figure.trim().parse::<u32>().ok());
+            Some((figures.next()??, figures.next()??, figures.next()??))
+        });
+        if let Some((running, waiting, slots)) = load {
+            let now = self.choosing.now();
+            self.choosing.0.engines.borrow_mut().load(now, self.key, running, waiting, slots);
+        }
+    }
+
+    /// The first event has come.
+    pub fn first_token(&mut self) {
+        if let Some(id) = self.id {
+            let now = self.choosing.now();
+            self.choosing.0.engines.borrow_mut().first_token(now, id);
+        }
+    }
+
+    /// A later event has come: the runner lives.
+    pub fn event(&self) {
+        if let Some(id) = self.id {
+            let now = self.choosing.now();
+            self.choosing.0.engines.borrow_mut().event(now, id);
+        }
+    }
+
+    /// Comes back once the runner seems to hang, for a send that may be repeated.
+    pub async fn overdue(&self) {
+        self.overdue.notified().await;
+    }
+
+    /// It has ended so.
+    pub fn end(&mut self, word: Word) {
+        self.finish(match word {
+            Word::Done => End::Ok,
+            Word::Failed => End::Failed,
+            Word::Full => End::Refused,
+            Word::Misdirected => End::WrongRunner,
+            Word::NoConnection => End::ConnectFailed,
+            Word::Unsent => End::NotRun,
+            Word::Broken => End::Broken,
+            Word::TimedOut => End::TimedOut,
+            Word::BrokenOff => End::ClientLeft,
+        });
+    }
+
+    fn finish(&mut self, end: End) {
+        if let Some(id) = self.id.take() {
+            let now = self.choosing.now();
+            self.choosing.0.engines.borrow_mut().ended(now, id, end);
+            self.choosing.0.calls.borrow_mut().remove(&id.0);
+            self.choosing.0.queue.call(&self.svc, 1);
+        }
+    }
+}
+
+impl Drop for Sending {
+    fn drop(&mut self) {
+        self.finish(End::ClientLeft);
+    }
+}
--- /dev/null
+++ b/crates/carrier/src/control.rs
@@ -0,0 +1,309 @@
+//! What the control plane tells this process, and what it tells on to those below it in the tree of relays.
+
+use crate::carrier::Carrier;
+use bytes::Bytes;
+use compact_str::CompactString;
+use lots::wire::{Message, StoreMap};
+use peer_link::{Handler, Peer, Reply};
+use relay_tree::{tree_parents, Board, Follow, Msg, Stamp};
+use route_config::Config;
+use runner_registry::{Runner, RunnerState};
+use slog::{info, warn};
+use std::cell::{Cell, RefCell};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use tier_facts::{decode_addresses, Dispatcher, HELLO, HELLO_EVERY, KEEPERS, NODES, RELAY};
+
+/// The fact with the newest configuration, and the one that says which is in force.
+const CONFIG_NEXT: &str = "config/next";
+const CONFIG_ACTIVE: &str = "config/active";
+/// Facts under this name the runners.
+const RUNNERS: &str = "runner/";
+/// The fact with the map of the stores.
+const STORES: &str = "stores";
+/// How old what a parent says may be for the first configuration of this life to come into force.
+const FRESH_MS: u64 = 1_500;
+/// A link feeds one subscriber for each so many megabits a second, within these bounds.
+const MBPS_EACH: f64 = 60.0;
+const WIDTH: (usize, usize) = (2, 16);
+/// To how many keepers this process says in turn that it is there: one may be gone.
+const HELLO_TO: usize = 2;
+
+/// The process's place in the tree.
+pub struct Control {
+    board: RefCell<Board>,
+    me: SocketAddr,
+    /// The newest configuration that came, whether or not it is in force.
+    next: RefCell<Option<Rc<Config>>>,
+    keepers: RefCell<Vec<SocketAddr>>,
+    parent: Cell<Option<SocketAddr>>,
+    /// Everything had come from a parent in touch with the keepers.
+    board_at: Cell<Option<u64>>,
+    /// When this process said last that it is there.
+    hello_at: Cell<Option<u64>>,
+    hello_turn: Cell<usize>,
+}
+
+impl Control {
+    /// Nothing is known yet.
+    pub fn new(life: u64, me: SocketAddr) -> Self {
+        Control {
+            board: RefCell::new(Board::new(life, me, Follow::First, false)),
+            me,
+            next: RefCell::new(None),
+            keepers: RefCell::new(vec![]),
+            parent: Cell::new(None),
+            board_at: Cell::new(None),
+            hello_at: Cell::new(None),
+            hello_turn: Cell::new(0),
+        }
+    }
+
+    /// How old what is known may be.
+    pub fn age(&self, now: u64) -> u64 {
+        self.board.borrow().age(now)
+    }
+
+    /// These are the keepers.
+    pub fn told_keepers(&self, keepers: Vec<SocketAddr>) {
+        *self.keepers.borrow_mut() = keepers;
+    }
+
+    /// When everything had come.
+    pub fn board_at(&self) -> Option<u64> {
+        self.board_at.get()
+    }
+}
+
+/// Takes what other processes say.
+pub struct Hub(pub Rc<Carrier>);
+
+impl Handler for Hub {
+    fn told(&self, from: &Rc<Peer>, kind: u16, body: Bytes) {
+        let carrier = &self.0;
+        if kind != RELAY {
+            return carrier.seldom("a frame of an unknown kind", |left_out| {
+                warn!(carrier.log, "a frame of an unknown kind"; "code" => 2101, "kind" => kind,
+                    "from" => %from.addr, "left_out" => left_out);
+            });
+        }
+        match Msg::decode(body) {
+            Ok(msg) => {
+                let now = carrier.clock.now();
+                carrier.control.board.borrow_mut().message(now, from.addr, msg);
+                settle(carrier, now);
+            }
+            Err(e) => carrier.seldom("a frame that can't be read", |left_out| {
+                warn!(carrier.log, "a frame that can't be read"; "code" => 2102, "why" => %e,
+                    "from" => %from.addr, "left_out" => left_out);
+            }),
+        }
+    }
+
+    fn called(&self, _: &Rc<Peer>, _: u16, _: Bytes, reply: Reply) {
+        // Nothing is asked of a carrier; dropped, the reply tells so.
+        drop(reply);
+    }
+}
+
+/// Time passes: every 100 ms or so.
+pub fn tick(carrier: &Rc<Carrier>, now: u64) {
+    let control = &carrier.control;
+    control.board.borrow_mut().tick(now);
+    settle(carrier, now);
+    let due = control.hello_at.get().is_none_or(|at| now >= at + HELLO_EVERY);
+    if due && !carrier.stopping() {
+        control.hello_at.set(Some(now));
+        let keepers = keepers(carrier);
+        let turn = control.hello_turn.get();
+        control.hello_turn.set(turn + 1);
+        if let Some(keeper) = keepers.get(turn % HELLO_TO.min(keepers.len().max(1))) {
+            carrier.links.tell(*keeper, HELLO, Bytes::new());
+        }
+    }
+}
+
+/// Says goodbye, so that those below look for another parent at once.
+pub fn close(carrier: &Rc<Carrier>) {
+    carrier.control.board.borrow_mut().close(carrier.clock.now());
+    send(carrier);
+}
+
+/// Sends what is to be sent, and takes in what has changed.
+fn settle(carrier: &Rc<Carrier>, now: u64) {
+    send(carrier);
+    let control = &carrier.control;
+    let changes = control.board.borrow_mut().changes();
+    let mut tree = false;
+    for key in &changes {
+        if let Some(id) = key.strip_prefix(RUNNERS) {
+            runner(carrier, now, id, key);
+        } else if key == STORES {
+            stores(carrier);
+        } else if key == CONFIG_NEXT {
+            configuration(carrier);
+        } else if key == KEEPERS || key.starts_with(NODES) {
+            tree = true;
+        }
+    }
+    let fresh = control.age(now) <= FRESH_MS;
+    if fresh && control.board_at.get().is_none() && control.board.borrow().get(KEEPERS).is_some() {
+        control.board_at.set(Some(now));
+        info!(carrier.log, "in touch with the control plane"; "after_ms" => now);
+    }
+    activate(carrier, fresh);
+    if tree {
+        follow(carrier, now);
+    }
+    let parent = control.board.borrow().parent();
+    if parent != control.parent.replace(parent) {
+        let said = parent.map_or_else(|| "none".into(), |p| p.to_string());
+        info!(carrier.log, "parent"; "addr" => said);
+    }
+    if !changes.is_empty() {
+        send(carrier);
+    }
+}
+
+fn send(carrier: &Rc<Carrier>) {
+    let messages = carrier.control.board.borrow_mut().take();
+    for (to, msg) in messages {
+        carrier.links.tell(to, RELAY, msg.encode());
+    }
+}
+
+/// The keepers as they are known: told ones, else those of the settings; those of the own zone first.
+fn keepers(carrier: &Carrier) -> Vec<SocketAddr> {
+    let told = carrier.control.keepers.borrow().clone();
+    let settings = carrier.settings.borrow();
+    let mut all = if told.is_empty() { settings.keeper_peers() } else { told };
+    let zone = &settings.zone;
+    let zones = zones(carrier);
+    all.sort_by_key(|addr| zones.iter().all(|(ip, z)| *ip != addr.ip() || z != zone));
+    all
+}
+
+/// The zones of the machines on which dispatchers are known.
+fn zones(carrier: &Carrier) -> Vec<(std::net::IpAddr, CompactString)> {
+    dispatchers(carrier).into_iter().map(|(addr, zone)| (addr.ip(), zone)).collect()
+}
+
+fn dispatchers(carrier: &Carrier) -> Vec<(SocketAddr, CompactString)> {
+    let board = carrier.control.board.borrow();
+    let known = board.under(NODES).filter_map(|fact| Dispatcher::decode(fact.value.as_ref()?));
+    known.map(|d| (d.addr, d.zone)).collect()
+}
+
+/// Whom to follow, from what is known.
+pub fn follow(carrier: &Rc<Carrier>, now: u64) {
+    let control = &carrier.control;
+    let told =
+        control.board.borrow().get(KEEPERS).and_then(|f| f.value.as_ref().map(|v| decode_addresses(v)));
+    if let Some(told) = told.filter(|told| !told.is_empty()) {
+        control.told_keepers(told);
+    }
+    let settings = Rc::clone(&carrier.settings.borrow());
+    // The others of this role send to the same runners.
+    let beside = dispatchers(carrier)
+        .iter()
+        .filter(|(a, _)| a.port() == control.me.port() && *a != control.me)
+        .count();
+    carrier.choice.share(beside + 1);
+    let mut list = vec![];
+    let keepers = control.keepers.borrow().clone();
+    if !keepers.is_empty() {
+        let dispatchers = dispatchers(carrier);
+        let zone_of = |addr: &SocketAddr| {
+            let on_it = dispatchers.iter().find(|(other, _)| other.ip() == addr.ip());
+            on_it.map(|(_, zone)| zone.clone()).unwrap_or_default()
+        };
+        let keepers: Vec<_> = keepers.iter().map(|addr| (*addr, zone_of(addr))).collect();
+        let width = ((settings.limits.link_mbps / MBPS_EACH) as usize).clamp(WIDTH.0, WIDTH.1);
+        list = tree_parents(control.me, &settings.zone, &dispatchers, &keepers, width);
+    }
+    // The addresses of the settings come last: they may be newer than what was told.
+    list.extend(settings.keeper_peers());
+    control.board.borrow_mut().parents(now, list);
+    send(carrier);
+}
+
+fn runner(carrier: &Rc<Carrier>, now: u64, id: &str, key: &str) {
+    let fact = carrier.control.board.borrow().get(key).cloned();
+    let Some(fact) = fact else { return carrier.choice.gone(id) };
+    if fact.value.is_none() {
+        info!(carrier.log, "runner gone"; "runner" => id);
+        return carrier.choice.gone(id);
+    }
+    match Runner::read(&fact) {
+        Ok(runner) => {
+            let state = match runner.state {
+                RunnerState::Up => "up",
+                RunnerState::Draining => "draining",
+                RunnerState::Gone => "gone",
+            };
+            if carrier.choice.told(now, &runner) {
+                info!(carrier.log, "runner {}", state; "runner" => id, "svc" => runner.svc.as_str(),
+                    "addr" => %runner.addr, "slots" => runner.slots);
+            }
+        }
+        Err(e) => carrier.seldom("a runner that can't be read", |left_out| {
+            warn!(carrier.log, "a runner that can't be read"; "code" => 2103, "runner" => id, "why" => %e,
+                "left_out" => left_out);
+        }),
+    }
+}
+
+fn stores(carrier: &Rc<Carrier>) {
+    let value = carrier.control.board.borrow().get(STORES).and_then(|fact| fact.value.clone());
+    let Some(value) = value else { return };
+    match StoreMap::decode(&value) {
+        Ok(map) => {
+            info!(carrier.log, "map of the stores"; "number" => map.number, "stores" => map.stores.len());
+            *carrier.map.borrow_mut() = Some(Rc::new(map));
+            carrier.changed.notify_waiters();
+        }
+        Err(e) => warn!(carrier.log, "a map that can't be read"; "code" => 2104, "why" => %e),
+    }
+}
+
+/// Reads the newest configuration as soon as it comes, so that the word that puts it into force takes effect at once.
+fn configuration(carrier: &Rc<Carrier>) {
+    let fact = carrier.control.board.borrow().get(CONFIG_NEXT).cloned();
+    let Some((stamp, body)) = fact.and_then(|fact| Some((fact.stamp, fact.value?))) else { return };
+    match Config::read(&body) {
+        Ok(config) if Stamp(config.gen, 0) == stamp => {
+            *carrier.control.next.borrow_mut() = Some(Rc::new(config));
+        }
+        Ok(config) => {
+            warn!(carrier.log, "a configuration under another number"; "code" => 2105, "gen" => config.gen,
+                "stamp" => stamp.0);
+        }
+        Err(e) => warn!(carrier.log, "a configuration that can't be read"; "code" => 2106, "why" => %e),
+    }
+}
+
+/// Puts the newest configuration into force once the word for it has come. Never goes back.
+fn activate(carrier: &Rc<Carrier>, fresh: bool) {
+    let control = &carrier.control;
+    let Some(next) = control.next.borrow().clone() else { return };
+    let held = carrier.config.borrow().as_ref().map(|c| c.gen);
+    if held.is_some_and(|held| held >= next.gen) || (held.is_none() && !fresh) {
+        return;
+    }
+    let active = control.board.borrow().get(CONFIG_ACTIVE).map(|fact| fact.stamp);
+    if active != Some(Stamp(next.gen, 0)) {
+        return;
+    }
+    put_into_force(carrier, next);
+}
+
+/// This configuration holds from now on.
+pub fn put_into_force(carrier: &Rc<Carrier>, next: Rc<Config>) {
+    info!(carrier.log, "configuration in force"; "gen" => next.gen, "routes" => next.routes.len(),
+        "svcs" => next.svcs.len());
+    carrier.choice.configured(&next);
+    crate::limits::apply(carrier, &next.limits);
+    *carrier.config.borrow_mut() = Some(next);
+    carrier.choice.wake_all();
+    carrier.changed.notify_waiters();
+}
--- /dev/null
+++ b/crates/carrier/src/front.rs
@@ -0,0 +1,182 @@
+//! Clients' requests: read whole, matched to a route, handed on.
+
+use crate::answer::{own, refused, Answer, AnswerBody};
+use crate::carrier::Carrier;
+use crate::counts::one;
+use crate::memory::Claim;
+use crate::request::{self, Request};
+use crate::{forward, lots_front};
+use bytes::{Bytes, BytesMut};
+use http1::{Answers, Asked, Phase};
+use http_body_util::BodyExt;
+use hyper::body::{Body, Incoming};
+use hyper::header::{HeaderValue, CONNECTION, TRANSFER_ENCODING};
+use hyper::{Response, StatusCode};
+use route_config::Kind;
+use std::rc::Rc;
+use tokio::time::{timeout_at, Instant};
+
+/// When a client may come again where nothing is known of why: the control plane comes up, or memory is full.
+const AGAIN_MS: u64 = 250;
+
+/// Why a request gets a fixed answer and never reaches a runner.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
+pub enum Denied {
+    /// No configuration is in force here yet.
+    #[error("no configuration is in force here yet")]
+    Unconfigured,
+    /// Nothing leads there.
+    #[error("no route leads there")]
+    NoRoute,
+    /// What was sent is no request that can be passed on.
+    #[error("the request can't be read")]
+    Unreadable,
+    /// A body with a length and in chunks, or of no known end.
+    #[error("a body comes with its length or in chunks, not both")]
+    Framing,
+    /// The body is larger than the configuration allows.
+    #[error("the body is too large")]
+    TooLarge,
+    /// The body did not come in time.
+    #[error("the request did not come in time")]
+    Slow,
+    /// Too much is open here.
+    #[error("too much is open here")]
+    Overload,
+}
+
+impl Denied {
+    /// The answer to the client.
+    pub fn answer(self) -> Answer {
+        match self {
+            Denied::Unconfigured => {
+                refused(StatusCode::SERVICE_UNAVAILABLE, "no configuration is in force here yet\n", AGAIN_MS)
+            }
+            Denied::Overload => refused(StatusCode::SERVICE_UNAVAILABLE, "too much is open here\n", AGAIN_MS),
+            Denied::NoRoute => own(StatusCode::NOT_FOUND, "no route leads there\n"),
+            Denied::Unreadable => own(StatusCode::BAD_REQUEST, "the request can't be read\n"),
+            Denied::Framing => own(StatusCode::BAD_REQUEST, "a body comes with its length or in chunks\n"),
+            Denied::TooLarge => own(StatusCode::PAYLOAD_TOO_LARGE, "the body is too large\n"),
+            Denied::Slow => own(StatusCode::REQUEST_TIMEOUT, "the request did not come in time\n"),
+        }
+    }
+
+    fn counts_as_refused(self) -> bool {
+        matches!(self, Denied::Unconfigured | Denied::Overload)
+    }
+}
+
+/// The front of the process.
+pub struct Front(pub Rc<Carrier>);
+
+impl Answers for Front {
+    type Body = AnswerBody;
+
+    async fn answer(&self, request: hyper::Request<Incoming>, asked: Asked<'_>) -> Response<AnswerBody> {
+        let carrier = &self.0;
+        let (guard, socket) = (asked.guard, asked.socket);
+        let (mut answer, denied) = match self.read(request, asked).await {
+            Ok(answer) => (answer, false),
+            Err(denied) => {
+                one(if denied.counts_as_refused() {
+                    &carrier.counts.refused
+                } else {
+                    &carrier.counts.denied
+                });
+                (denied.answer(), true)
+            }
+        };
+        // Who sends what can't be used may have sent more of it, and a body that was not read is no head.
+        if denied || socket.overran() || carrier.connections.phase() != Phase::Serving {
+            answer.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+        }
+        if matches!(answer.body(), AnswerBody::Whole(_)) {
+            guard.answered();
+        }
+        answer
+    }
+}
+
+impl Front {
+    async fn read(&self, request: hyper::Request<Incoming>, asked: Asked<'_>) -> Result<Answer, Denied> {
+        let carrier = &self.0;
+        let came = carrier.clock.now();
+        let (head, body) = request.into_parts();
+        let chunks = head.headers.contains_key(TRANSFER_ENCODING);
+        // A length beside it may hide another request in the body, and hyper drops that length unseen.
+        if chunks && !asked.guard.only_chunks() {
+            return Err(Denied::Framing);
+        }
+        asked.guard.head_over();
+        if asked.crowded {
+            return Err(Denied::Overload);
+        }
+        let host = request::host(&head).ok_or(Denied::Unreadable)?;
+        let path = head.uri.path();
+        let of_lots = lots_front::is_call(path);
+        let limits = {
+            let config = carrier.config().ok_or(Denied::Unconfigured)?;
+            if !of_lots && config.route(&host, path).is_none() {
+                return Err(Denied::NoRoute);
+            }
+            config.limits
+        };
+        let most = usize::try_from(limits.max_body_bytes).unwrap_or(usize::MAX);
+        let length = body.size_hint().upper().map_or(0, |upper| usize::try_from(upper).unwrap_or(usize::MAX));
+        if length > most {
+            return Err(Denied::TooLarge);
+        }
+        let mut claim = carrier.memory.claim(length).ok_or(Denied::Overload)?;
+        let body = if body.is_end_stream() {
+            Bytes::new()
+        } else {
+            asked.guard.body_begins();
+            let until = Instant::now() + carrier.connections.guards().waits().request;
+            timeout_at(until, collect(body, most, &mut claim)).await.unwrap_or(Err(Denied::Slow))?
+        };
+        asked.guard.answering();
+        if of_lots {
+            return Ok(lots_front::answer(carrier, &head, &host, came).await);
+        }
+        let request = Request::new(head, host, body, came).ok_or(Denied::Unreadable)?;
+        // Its leaving may lie in the socket behind its request, where the connection waited to be accepted or read.
+        if asked.socket.has_gone() {
+            one(&carrier.counts.left);
+            return Err(Denied::Unreadable);
+        }
+        one(&carrier.counts.came);
+        let kind =
+            carrier.config().and_then(|c| c.route(&request.host, request.target.path()).map(|r| r.kind));
+        match kind {
+            None => Err(Denied::NoRoute),
+            Some(Kind::Bulk) => Ok(lots_front::submit(carrier, &request).await),
+            Some(_) => Ok(forward::forward(carrier, request, asked.guard, claim).await),
+        }
+    }
+}
+
+/// A body whole, within this length and what there is room for.
+async fn collect(mut body: Incoming, most: usize, claim: &mut Claim) -> Result<Bytes, Denied> {
+    let mut first = Bytes::new();
+    let mut more = BytesMut::new();
+    while let Some(frame) = body.frame().await {
+        let Ok(data) = frame.map_err(|_| Denied::Unreadable)?.into_data() else { continue };
+        let length = first.len() + more.len() + data.len();
+        if length > most {
+            return Err(Denied::TooLarge);
+        }
+        if !claim.grow(length) {
+            return Err(Denied::Overload);
+        }
+        // The usual body is one piece, and nothing is copied.
+        if first.is_empty() && more.is_empty() {
+            first = data;
+        } else {
+            if more.is_empty() {
+                more.extend_from_slice(&std::mem::take(&mut first));
+            }
+            more.extend_from_slice(&data);
+        }
+    }
+    Ok(if more.is_empty() { first } else { more.freeze() })
+}
--- /dev/null
+++ b/crates/carrier/src/items.rs
@@ -0,0 +1,485 @@
+//! Items of lots: fetched for the room that there is, run as requests at runners, and their results handed back.
+//!
+//! An item that was fetched is held until a runner has room for it, and never refused. It is given up only by the store that
+//! keeps its lot; what this process holds it says twice a second, and what it is told to drop ends at once.
+
+use crate::carrier::Carrier;
+use crate::choice::{Ask, Chosen, Word};
+use crate::counts::one;
+use crate::events::{add_data, Events};
+use crate::forward::{send, RouteTerms, Sent, Tried};
+use crate::request::{Request, SEAL};
+use crate::stream::{shows_its_end, silence, End, Source};
+use compact_str::CompactString;
+use hyper::header::HeaderValue;
+use lots::wire::{
+    partition_of, Done, DoneAnswer, DoneCall, FetchAnswer, FetchCall, Held, HeldPart, HoldAnswer, HoldCall,
+    Leased, Message, Outcome, PartAnswer, StoreMap, Want, DONE, FETCH, HOLD, HOLDER_SILENT_MS, HOLD_EVERY_MS,
+    PARTITIONS,
+};
+use route_config::{Config, Kind, Route};
+use std::cell::{Cell, RefCell};
+use std::collections::{BTreeMap, HashMap, HashSet};
+use std::net::SocketAddr;
+use std::pin::pin;
+use std::rc::Rc;
+use tokio::task::{spawn_local, AbortHandle};
+use tokio::time::{sleep, sleep_until, timeout, Duration, Instant};
+
+/// How long a store may hold a fetch until there is an item: what is wanted changes with the live load.
+const FETCH_WAIT_MS: u32 = 500;
+/// An answer without an item that comes sooner than this was not held.
+const AT_ONCE: Duration = Duration::from_millis(50);
+/// Calls beside that wait.
+const CALL_WITHIN: Duration = Duration::from_millis(1_000);
+/// Results are gathered for so long, so that one write of the store's disk serves several.
+const GATHER: Duration = Duration::from_millis(15);
+/// Results, and their bytes, in one call at most.
+const BATCH: usize = 256;
+const BATCH_BYTES: usize = 2 << 20;
+/// A call about results that failed is made again after this.
+const AGAIN: Duration = Duration::from_millis(100);
+/// An item looks again for a runner after this, if it was not called before.
+const LOOK_AGAIN: Duration = Duration::from_millis(150);
+/// An item whose route is not in force here, or that no runner takes as it is, waits so long before it is handed back.
+const ODD_PAUSE: Duration = Duration::from_millis(300);
+/// Items held here at most; far beyond the room that a process has for them.
+const MOST: usize = 2_048;
+/// The longest text of a result; a longer one is no output of a runner.
+const LONGEST_TEXT: usize = 4 << 20;
+/// An item is sent only while its store was heard from this lately: a lot that ended may be known nowhere else.
+const CONFIRMED_MS: u64 = HOLDER_SILENT_MS - HOLD_EVERY_MS;
+/// How long before the process ends the items that still run are handed back.
+const RELEASE_MS: u64 = 2_500;
+
+/// Which item, and which holding of it.
+type Key = (CompactString, u32, u64);
+
+struct Holding {
+    partition: u16,
+    /// It was sent to a runner.
+    begun: Cell<bool>,
+    task: RefCell<Option<AbortHandle>>,
+}
+
+/// The items that this process holds.
+#[derive(Default)]
+pub struct Items {
+    held: RefCell<HashMap<Key, Rc<Holding>>>,
+    /// Stores that are being asked for items.
+    fetching: RefCell<HashSet<SocketAddr>>,
+    /// Results that are not handed over yet, by partition, and the partitions for which someone does it.
+    results: RefCell<HashMap<u16, Vec<Done>>>,
+    handing: RefCell<HashSet<u16>>,
+    /// When the store of a partition last said what is to be dropped.
+    confirmed: [Cell<u64>; PARTITIONS],
+    held_at: Cell<u64>,
+}
+
+impl Items {
+    /// How many are held.
+    pub fn len(&self) -> usize {
+        self.held.borrow().len()
+    }
+
+    /// Whether none is held.
+    pub fn is_empty(&self) -> bool {
+        self.held.borrow().is_empty()
+    }
+
+    fn is_held(&self, key: &Key) -> bool {
+        self.held.borrow().contains_key(key)
+    }
+
+    fn waiting(&self) -> u32 {
+        let held = self.held.borrow();
+        u32::try_from(held.values().filter(|h| !h.begun.get()).count()).unwrap_or(u32::MAX)
+    }
+
+    fn confirm(&self, partition: u16, at: u64) {
+        if let Some(confirmed) = self.confirmed.get(usize::from(partition)) {
+            confirmed.set(confirmed.get().max(at));
+        }
+    }
+
+    fn is_confirmed(&self, partition: u16, now: u64) -> bool {
+        self.confirmed.get(usize::from(partition)).is_some_and(|at| now < at.get() + CONFIRMED_MS)
+    }
+
+    fn drop_one(&self, key: &Key) {
+        if let Some(holding) = self.held.borrow_mut().remove(key) {
+            if let Some(task) = holding.task.borrow_mut().take() {
+                task.abort();
+            }
+        }
+    }
+}
+
+/// Time passes: every 100 ms or so.
+pub fn tick(carrier: &Rc<Carrier>, now: u64) {
+    let items = &carrier.items;
+    if now >= items.held_at.get() + HOLD_EVERY_MS && !items.is_empty() {
+        items.held_at.set(now);
+        hold(carrier, now);
+    }
+    if let Some(at) = carrier.stopped.get() {
+        let grace = carrier.settings.borrow().bounds.grace_ms;
+        let over = now.saturating_sub(at) + RELEASE_MS >= grace;
+        release(carrier, over);
+        return;
+    }
+    let (Some(config), Some(map)) = (carrier.config(), carrier.map()) else { return };
+    for (head, _) in wants(carrier, &config, &map, now) {
+        if items.fetching.borrow_mut().insert(head) {
+            let carrier = Rc::clone(carrier);
+            spawn_local(async move {
+                fetch_all(&carrier, head).await;
+                carrier.items.fetching.borrow_mut().remove(&head);
+            });
+        }
+    }
+}
+
+/// Hands back what has not begun, and at the end what still runs.
+fn release(carrier: &Rc<Carrier>, all: bool) {
+    let items = &carrier.items;
+    let given_back: Vec<_> = {
+        let held = items.held.borrow();
+        let back = held.iter().filter(|(_, h)| (all || !h.begun.get()) && h.task.borrow().is_some());
+        back.map(|(key, holding)| (key.clone(), Rc::clone(holding))).collect()
+    };
+    for (key, holding) in given_back {
+        if let Some(task) = holding.task.borrow_mut().take() {
+            task.abort();
+        }
+        finish(carrier, &key, Outcome::Released);
+    }
+}
+
+/// What is wanted of which store.
+fn wants(carrier: &Carrier, config: &Config, map: &StoreMap, now: u64) -> BTreeMap<SocketAddr, Vec<Want>> {
+    let mut by_svc: HashMap<&str, Vec<&Route>> = HashMap::new();
+    for route in config.routes.iter().filter(|route| route.kind == Kind::Bulk) {
+        for (svc, _) in route.targets.iter().filter(|(_, weight)| *weight > 0.0) {
+            by_svc.entry(svc.as_str()).or_default().push(route);
+        }
+    }
+    let mut all: BTreeMap<SocketAddr, Vec<Want>> = BTreeMap::new();
+    if by_svc.is_empty() || carrier.items.len() >= MOST {
+        return all;
+    }
+    let waiting = carrier.items.waiting();
+    for (svc, routes) in by_svc {
+        let room = carrier.choice.item_room(now, svc).saturating_sub(waiting);
+        let each = room / routes.len() as u32;
+        // What doesn't divide goes to another route each time.
+        let odd = (room as usize) % routes.len();
+        for (place, route) in routes.iter().enumerate() {
+            let more = u32::from((place + now as usize / 100) % routes.len() < odd);
+            let (want, head) = (each + more, map.head_of(&route.host));
+            if let Some(head) = head.filter(|_| want > 0) {
+                all.entry(head).or_default().push(Want {
+                    host: route.host.clone(),
+                    route: route.name.clone(),
+                    want,
+                });
+            }
+        }
+    }
+    all
+}
+
+/// Fetches from a store for as long as there is room.
+async fn fetch_all(carrier: &Rc<Carrier>, head: SocketAddr) {
+    loop {
+        let now = carrier.clock.now();
+        let (Some(config), Some(map)) = (carrier.config(), carrier.map()) else { return };
+        let Some(wants) = wants(carrier, &config, &map, now).remove(&head) else { return };
+        if carrier.stopping() {
+            return;
+        }
+        let hosts: HashSet<u16> = wants.iter().map(|want| partition_of(&want.host) as u16).collect();
+        let call = FetchCall { holder: carrier.id, wait_ms: FETCH_WAIT_MS, wants }.encode();
+        let within = Duration::from_millis(FETCH_WAIT_MS.into()) + CALL_WITHIN;
+        let asked = Instant::now();
+        let Ok(answer) = carrier.links.call(head, FETCH, call, within).await else { return };
+        let Ok(answer) = FetchAnswer::decode(&answer) else { return };
+        for partition in hosts {
+            carrier.items.confirm(partition, now);
+        }
+        // A store that has nothing and doesn't wait either is asked again with the next tick.
+        if answer.items.is_empty() && (!answer.elsewhere.is_empty() || asked.elapsed() < AT_ONCE) {
+            return;
+        }
+        for leased in answer.items {
+            begin(carrier, leased);
+        }
+    }
+}
+
+fn begin(carrier: &Rc<Carrier>, leased: Leased) {
+    let key: Key = (leased.lot.clone(), leased.index, leased.lease);
+    let partition = partition_of(&leased.host) as u16;
+    let holding = Rc::new(Holding { partition, begun: Cell::new(false), task: RefCell::new(None) });
+    if carrier.items.held.borrow_mut().insert(key.clone(), Rc::clone(&holding)).is_some() {
+        return;
+    }
+    one(&carrier.counts.items);
+    let task = {
+        let (carrier, holding) = (Rc::clone(carrier), Rc::clone(&holding));
+        spawn_local(async move {
+            let outcome = run(&carrier, &leased, &holding).await;
+            holding.task.borrow_mut().take();
+            finish(&carrier, &key, outcome);
+        })
+    };
+    *holding.task.borrow_mut() = Some(task.abort_handle());
+}
+
+/// Runs an item until there is something to say of it.
+async fn run(carrier: &Rc<Carrier>, leased: &Leased, holding: &Holding) -> Outcome {
+    let came = carrier.clock.now();
+    let Some(request) = Request::of_item(&leased.item, &leased.host, came) else {
+        sleep(ODD_PAUSE).await;
+        return Outcome::Released;
+    };
+    let due = came.saturating_add(leased.due_in_ms);
+    let mut tried = Tried::default();
+    let (mut text, mut any) = (Vec::new(), false);
+    let mut events = Events::default();
+    loop {
+        let before = request.svc.borrow().clone();
+        let Some((chosen, terms)) = runner(carrier, leased, holding, &request, &tried, due).await else {
+            return Outcome::Released;
+        };
+        if events.last_id().is_some() && before != *request.svc.borrow() {
+            // Another service may say something else from the same place on.
+            events = Events::default();
+        }
+        if tried.runners.len() > 8 {
+            tried.runners.clear();
+        }
+        holding.begun.set(true);
+        let behind = events.last_id().and_then(|id| HeaderValue::from_bytes(id).ok());
+        let begun = match send(carrier, &request, &terms, chosen, &mut tried, behind.as_ref()).await {
+            Sent::Begun(begun) => *begun,
+            Sent::Declined(_) | Sent::Unsent => {
+                holding.begun.set(behind.is_some());
+                continue;
+            }
+            Sent::Broken | Sent::TimedOut => continue,
+        };
+        let mut source = Source {
+            until: Instant::now() + Duration::from_millis(terms.timeout_ms),
+            silence: silence(&terms),
+            heard: Instant::now(),
+            events: std::mem::take(&mut events),
+            begun,
+        };
+        match source.begun.head.status.as_u16() {
+            200..=299 if source.begun.head.headers.contains_key(SEAL) => {}
+            500 => {
+                source.begun.sending.end(Word::Failed);
+                return Outcome::Failed;
+            }
+            422 => {
+                source.begun.sending.end(Word::Done);
+                return Outcome::Impossible;
+            }
+            _ => {
+                carrier.odd_answer(
+                    "an item's answer that says nothing",
+                    source.begun.sending.key(),
+                    &source.begun.head,
+                );
+                source.begun.sending.end(Word::Failed);
+                events = source.events;
+                sleep(ODD_PAUSE).await;
+                continue;
+            }
+        }
+        match &behind {
+            Some(behind) => source.events.taken_up(behind.as_bytes()),
+            None => {
+                text.clear();
+                any = false;
+                source.events = Events::default();
+            }
+        }
+        let end = collect(&mut source, &mut text, &mut any).await;
+        if end == End::Whole && shows_its_end(&source.begun.head.headers) && text.len() <= LONGEST_TEXT {
+            add_data(&mut text, &mut any, &source.events.rest());
+            let Source { begun, .. } = source;
+            let mut sending = begun.sending;
+            sending.end(Word::Done);
+            if let Some(upstream) = begun.upstream.rest(&begun.head.headers) {
+                carrier.choice.keep(sending.key(), upstream);
+            }
+            return Outcome::Complete { text: text.into() };
+        }
+        one(&carrier.counts.broken);
+        source.begun.sending.end(end.word());
+        events = source.events;
+    }
+}
+
+/// Adds what a runner sends to a text.
+async fn collect(source: &mut Source, text: &mut Vec<u8>, any: &mut bool) -> End {
+    match source.first(true).await {
+        Ok(whole) => add_data(text, any, &whole),
+        Err(end) => return end,
+    }
+    source.begun.sending.first_token();
+    let mut timer = pin!(sleep_until(source.heard));
+    loop {
+        match source.next(&mut timer).await {
+            Ok(whole) => add_data(text, any, &whole),
+            Err(end) => return end,
+        }
+        if text.len() > LONGEST_TEXT {
+            return End::Broken;
+        }
+    }
+}
+
+/// A runner for an item, as soon as there is one; none if the item is to be handed back.
+async fn runner(
+    carrier: &Rc<Carrier>,
+    leased: &Leased,
+    holding: &Holding,
+    request: &Request,
+    tried: &Tried,
+    due: u64,
+) -> Option<(Chosen, RouteTerms)> {
+    let mut place = None;
+    loop {
+        let now = carrier.clock.now();
+        if carrier.stopping() {
+            return None;
+        }
+        let config = carrier.config()?;
+        // By its path, as any request: a route may have moved.
+        let route =
+            config.route(&leased.host, request.target.path()).filter(|route| route.kind == Kind::Bulk);
+        let Some(route) = route else {
+            sleep(ODD_PAUSE).await;
+            return None;
+        };
+        if carrier.items.is_confirmed(holding.partition, now) {
+            let left_ms = due.saturating_sub(now);
+            let ask = Ask { request, route, tried, left_ms, now, amid: holding.begun.get() };
+            if let Some(chosen) = carrier.choice.choose_item(&ask) {
+                return Some((chosen, RouteTerms::of_item(route)));
+            }
+            if !holding.begun.get() {
+                // Another service of the route may have room.
+                request.svc.take();
+            }
+        }
+        let place = place.get_or_insert_with(|| carrier.choice.queue_item(request, due));
+        let _ = timeout(LOOK_AGAIN, place.turn()).await;
+    }
+}
+
+/// An item's outcome is handed over with others of its partition.
+fn finish(carrier: &Rc<Carrier>, key: &Key, outcome: Outcome) {
+    let items = &carrier.items;
+    let Some(partition) = items.held.borrow().get(key).map(|h| h.partition) else { return };
+    one(if outcome == Outcome::Released { &carrier.counts.released } else { &carrier.counts.done });
+    let done = Done { lot: key.0.clone(), index: key.1, lease: key.2, outcome };
+    items.results.borrow_mut().entry(partition).or_default().push(done);
+    if items.handing.borrow_mut().insert(partition) {
+        let carrier = Rc::clone(carrier);
+        spawn_local(async move {
+            hand_over(&carrier, partition).await;
+            carrier.items.handing.borrow_mut().remove(&partition);
+        });
+    }
+}
+
+async fn hand_over(carrier: &Rc<Carrier>, partition: u16) {
+    let items = &carrier.items;
+    let mut moved: Option<SocketAddr> = None;
+    sleep(GATHER).await;
+    loop {
+        let results = {
+            let mut all = items.results.borrow_mut();
+            let waiting = all.entry(partition).or_default();
+            // What was dropped meanwhile is the store's no more to hear.
+            waiting.retain(|d| items.is_held(&(d.lot.clone(), d.index, d.lease)));
+            waiting.iter().take(batch(waiting)).cloned().collect::<Vec<_>>()
+        };
+        if results.is_empty() {
+            return;
+        }
+        let keys: Vec<Key> = results.iter().map(|d| (d.lot.clone(), d.index, d.lease)).collect();
+        let head =
+            |map: &StoreMap| map.partitions.get(usize::from(partition))?.members.first().map(|m| m.addr);
+        let to = moved.take().or_else(|| head(&*carrier.map()?));
+        let call = DoneCall { holder: carrier.id, partition, results }.encode();
+        let answer = match to {
+            Some(to) => carrier.links.call(to, DONE, call, CALL_WITHIN).await.ok(),
+            None => None,
+        };
+        match answer.and_then(|body| DoneAnswer::decode(&body).ok()) {
+            Some(DoneAnswer::Accepted) => {
+                if let Some(waiting) = items.results.borrow_mut().get_mut(&partition) {
+                    waiting.retain(|d| !keys.contains(&(d.lot.clone(), d.index, d.lease)));
+                }
+                keys.iter().for_each(|key| items.drop_one(key));
+            }
+            Some(DoneAnswer::Moved { to: other }) if Some(other) != to => moved = Some(other),
+            _ => {
+                one(&carrier.counts.unsure);
+                sleep(AGAIN).await;
+            }
+        }
+    }
+}
+
+/// How many of these results go into one call.
+fn batch(results: &[Done]) -> usize {
+    let mut bytes = 0;
+    let fits = |done: &&Done| {
+        bytes += 64
+            + match &done.outcome {
+                Outcome::Complete { text } => text.len(),
+                _ => 0,
+            };
+        bytes <= BATCH_BYTES
+    };
+    results.iter().take(BATCH).take_while(fits).count().max(1).min(results.len())
+}
+
+/// Says what is held, and drops what is to be dropped.
+fn hold(carrier: &Rc<Carrier>, now: u64) {
+    let Some(map) = carrier.map() else { return };
+    let mut parts: BTreeMap<u16, Vec<Held>> = BTreeMap::new();
+    for ((lot, index, lease), holding) in carrier.items.held.borrow().iter() {
+        let held = Held { lot: lot.clone(), index: *index, lease: *lease };
+        parts.entry(holding.partition).or_default().push(held);
+    }
+    let mut calls: BTreeMap<SocketAddr, Vec<HeldPart>> = BTreeMap::new();
+    for (partition, held) in parts {
+        let head = map.partitions.get(usize::from(partition)).and_then(|view| view.members.first());
+        if let Some(head) = head {
+            calls.entry(head.addr).or_default().push(HeldPart { partition, held });
+        }
+    }
+    for (head, parts) in calls {
+        let carrier = Rc::clone(carrier);
+        spawn_local(async move {
+            let call = HoldCall { holder: carrier.id, parts }.encode();
+            let Ok(answer) = carrier.links.call(head, HOLD, call, CALL_WITHIN).await else { return };
+            let Ok(answer) = HoldAnswer::decode(&answer) else { return };
+            for part in answer.parts {
+                if let PartAnswer::Drop { drop } = part.answer {
+                    carrier.items.confirm(part.partition, now);
+                    for held in drop {
+                        carrier.items.drop_one(&(held.lot, held.index, held.lease));
+                    }
+                }
+            }
+        });
+    }
+}
--- /dev/null
+++ b/crates/carrier/src/lib.rs
@@ -0,0 +1,29 @@
+//! The data plane of the tier: carries requests from clients to runners, and runs the items of lots in the room that
+//! requests leave.
+//!
+//! One thread. What the control plane tells comes down the tree of relays ([`control`]); clients' requests come in by
+//! [`front`], find a runner by [`forward`] and [`choice`], and go out on the connections of [`upstream`].
+
+pub mod answer;
+pub mod carrier;
+pub mod choice;
+pub mod control;
+pub mod counts;
+pub mod events;
+pub mod forward;
+pub mod front;
+pub mod items;
+pub mod limits;
+pub mod lots_front;
+pub mod memory;
+pub mod pool;
+pub mod queue;
+pub mod ready;
+pub mod report;
+pub mod request;
+mod run;
+pub mod stop;
+pub mod stream;
+pub mod upstream;
+
+pub use run::{main, Process, StartError};
--- /dev/null
+++ b/crates/carrier/src/lots_front.rs
@@ -0,0 +1,321 @@
+//! Clients' calls about batch jobs: handed to the store that keeps them, and its word handed back.
+//!
+//! Nothing is promised that a store has not said. What is unclear is asked again while the client waits, and then told so.
+
+use crate::answer::{json, own, refused, Answer, AnswerBody};
+use crate::carrier::Carrier;
+use crate::counts::one;
+use crate::request::{self, Request, WAIT_MS};
+use bytes::Bytes;
+use compact_str::CompactString;
+use hyper::header::{HeaderValue, ALLOW, CONTENT_TYPE};
+use hyper::http::request::Parts;
+use hyper::{Method, Response, StatusCode};
+use lots::json::{check_lot_id, read_submit, write_read};
+use lots::wire::{
+    BodyAnswer, BodyCall, EndAnswer, EndCall, Message, ReadAnswer, ReadCall, StoreMap, SubmitAnswer,
+    SubmitCall, BODY, END, MAX_WAIT_MS, READ, SUBMIT,
+};
+use peer_link::CallError;
+use percent_encoding::percent_decode_str;
+use route_config::Kind;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use tokio::time::{sleep_until, timeout_at, Duration, Instant};
+
+/// How long a client is answered after the time that it allows: it waits 1.5 s beyond.
+const READ_WITHIN: Duration = Duration::from_millis(1_200);
+/// Clients take other calls for lost after this.
+const CALL_WITHIN: Duration = Duration::from_millis(1_200);
+/// One store is waited for this long before the map is asked for another.
+const ONE_STORE: Duration = Duration::from_millis(700);
+/// How long is waited before the same store is asked again.
+const AGAIN: Duration = Duration::from_millis(60);
+/// When a client may come again that was refused for want of room, and for want of a store.
+const FULL_AGAIN_MS: u64 = 500;
+const BUSY_AGAIN_MS: u64 = 250;
+/// The least that a submission is given, whatever its route says.
+const SUBMIT_LEAST_MS: u64 = 500;
+
+/// Whether a path is a call about batch jobs, whatever its host's routes.
+pub fn is_call(path: &str) -> bool {
+    path.starts_with("/-/lots/") || path.starts_with("/-/items/")
+}
+
+/// Answers a call about a batch job.
+pub async fn answer(carrier: &Rc<Carrier>, head: &Parts, host: &CompactString, came: u64) -> Answer {
+    let mut segments = head.uri.path().split('/').skip(2);
+    let (room, id, end) = (segments.next(), segments.next(), segments.next());
+    let lot = id.filter(|_| end.is_none()).and_then(decoded).filter(|id| check_lot_id(id).is_ok());
+    let Some(lot) = lot else {
+        return own(StatusCode::NOT_FOUND, "no batch job has such an id\n");
+    };
+    let query = head.uri.query().unwrap_or_default();
+    let asked = |name: &str| {
+        let mut pairs = query.split('&').filter_map(|pair| pair.split_once('='));
+        pairs.find(|(key, _)| *key == name).and_then(|(_, value)| decoded(value))
+    };
+    let wait_ms = head.headers.get(WAIT_MS).and_then(request::milliseconds).unwrap_or(0);
+    let call = Call { carrier, host, came };
+    match (&head.method, room) {
+        (&Method::GET, Some("lots")) => {
+            let start_after = asked("StartAfter").map_or(Some(0), |n| n.parse().ok());
+            match start_after {
+                Some(start_after) => call.read(lot, start_after, wait_ms).await,
+                None => own(StatusCode::BAD_REQUEST, "StartAfter is a number\n"),
+            }
+        }
+        (&Method::GET, Some("items")) => match asked("Id") {
+            Some(item) => call.body(lot, item).await,
+            None => own(StatusCode::BAD_REQUEST, "Id is missing\n"),
+        },
+        (&Method::DELETE, Some("lots")) => call.end(lot).await,
+        _ => {
+            let mut answer = own(StatusCode::METHOD_NOT_ALLOWED, "nothing is done so with batch jobs\n");
+            answer.headers_mut().insert(ALLOW, HeaderValue::from_static("GET, DELETE"));
+            answer
+        }
+    }
+}
+
+/// A segment of a path or a value of a query as it is meant.
+fn decoded(text: &str) -> Option<CompactString> {
+    percent_decode_str(text).decode_utf8().ok().map(CompactString::from)
+}
+
+/// Which end of a chain is asked.
+#[derive(Clone, Copy)]
+enum Who {
+    /// The head, for changes.
+    Head,
+    /// The tail, for what is kept.
+    Tail,
+}
+
+/// What a store's answer means to whoever asks.
+enum Heard<A> {
+    /// The answer.
+    This(A),
+    /// Another store is to be asked.
+    Moved(SocketAddr),
+    /// It can't say.
+    Unsure,
+}
+
+struct Call<'a> {
+    carrier: &'a Rc<Carrier>,
+    host: &'a CompactString,
+    came: u64,
+}
+
+impl Call<'_> {
+    /// Asks stores until one says, or the time is over. Tells beside it whether some store may have acted unheard.
+    async fn ask<A>(
+        &self,
+        who: Who,
+        kind: u16,
+        call: Bytes,
+        until: Instant,
+        hold: Duration,
+        read: impl Fn(&Bytes) -> Option<Heard<A>>,
+    ) -> (Option<A>, bool) {
+        let mut unclear = false;
+        let mut moved: Option<SocketAddr> = None;
+        loop {
+            let changed = self.carrier.changed.notified();
+            let map = self.carrier.map();
+            let named = map.as_deref().and_then(|map| at(map, self.host, who));
+            let Some(to) = moved.take().or(named) else {
+                if timeout_at(until, changed).await.is_err() {
+                    return (None, unclear);
+                }
+                continue;
+            };
+            let within = until.saturating_duration_since(Instant::now()).min(hold + ONE_STORE);
+            if within.is_zero() {
+                return (None, unclear);
+            }
+            // A map that names another one meanwhile is heeded at once.
+            let elsewhere = async {
+                let mut changed = changed;
+                loop {
+                    changed.await;
+                    let map = self.carrier.map();
+                    if map.as_deref().and_then(|map| at(map, self.host, who)).is_some_and(|now| now != to) {
+                        return;
+                    }
+                    changed = self.carrier.changed.notified();
+                }
+            };
+            let answer = tokio::select! {
+                biased;
+                answer = self.carrier.links.call(to, kind, call.clone(), within) => answer,
+                () = elsewhere => Err(CallError::Unclear),
+            };
+            match answer.map(|body| read(&body)) {
+                Ok(Some(Heard::This(answer))) => return (Some(answer), unclear),
+                Ok(Some(Heard::Moved(to))) => {
+                    // Followed at once; who is sent on in a circle waits a little.
+                    if named != Some(to) {
+                        moved = Some(to);
+                    }
+                }
+                Ok(Some(Heard::Unsure) | None) | Err(CallError::Unclear) => unclear = true,
+                Err(CallError::NotSent) => {}
+            }
+            let again = Instant::now() + AGAIN;
+            if again >= until {
+                return (None, unclear);
+            }
+            if moved.is_none() {
+                sleep_until(again).await;
+            }
+        }
+    }
+
+    fn until(&self, ms: u64) -> Instant {
+        self.carrier.clock.instant(self.came + ms)
+    }
+
+    fn unsure(&self) -> Answer {
+        one(&self.carrier.counts.unsure);
+        refused(StatusCode::SERVICE_UNAVAILABLE, "no store can say for sure\n", BUSY_AGAIN_MS)
+    }
+
+    async fn read(&self, lot: CompactString, start_after: u32, wait_ms: u64) -> Answer {
+        let wait_ms = u32::try_from(wait_ms).unwrap_or(u32::MAX).min(MAX_WAIT_MS);
+        let call = ReadCall { host: self.host.clone(), lot, start_after, wait_ms }.encode();
+        let hold = Duration::from_millis(wait_ms.into());
+        let until = self.until(u64::from(wait_ms) + READ_WITHIN.as_millis() as u64);
+        let (answer, _) = self
+            .ask(Who::Tail, READ, call, until, hold, |body| {
+                Some(match ReadAnswer::decode(body).ok()? {
+                    ReadAnswer::Moved { to } => Heard::Moved(to),
+                    ReadAnswer::Unsure => Heard::Unsure,
+                    said => Heard::This(said),
+                })
+            })
+            .await;
+        match answer {
+            Some(ReadAnswer::Found { total, next, results }) => {
+                json(StatusCode::OK, write_read(total, next, &results).into())
+            }
+            Some(ReadAnswer::Unknown) => own(StatusCode::NOT_FOUND, "there is no such batch job\n"),
+            _ => self.unsure(),
+        }
+    }
+
+    async fn body(&self, lot: CompactString, item: CompactString) -> Answer {
+        let call = BodyCall { host: self.host.clone(), lot, item }.encode();
+        let until = self.until(CALL_WITHIN.as_millis() as u64);
+        let (answer, _) = self
+            .ask(Who::Tail, BODY, call, until, Duration::ZERO, |body| {
+                Some(match BodyAnswer::decode(body).ok()? {
+                    BodyAnswer::Moved { to } => Heard::Moved(to),
+                    BodyAnswer::Unsure => Heard::Unsure,
+                    said => Heard::This(said),
+                })
+            })
+            .await;
+        match answer {
+            Some(BodyAnswer::Found { body }) => {
+                let mut answer = Response::new(AnswerBody::Whole(Some(body)));
+                let bytes = HeaderValue::from_static("application/octet-stream");
+                answer.headers_mut().insert(CONTENT_TYPE, bytes);
+                answer
+            }
+            Some(BodyAnswer::Unknown) => own(StatusCode::NOT_FOUND, "there is no such item\n"),
+            _ => self.unsure(),
+        }
+    }
+
+    async fn end(&self, lot: CompactString) -> Answer {
+        let call = EndCall { host: self.host.clone(), lot }.encode();
+        let until = self.until(CALL_WITHIN.as_millis() as u64);
+        let (answer, _) = self
+            .ask(Who::Head, END, call, until, Duration::ZERO, |body| {
+                Some(match EndAnswer::decode(body).ok()? {
+                    EndAnswer::Moved { to } => Heard::Moved(to),
+                    EndAnswer::Unsure => Heard::Unsure,
+                    said => Heard::This(said),
+                })
+            })
+            .await;
+        match answer {
+            Some(EndAnswer::Ended) => json(StatusCode::OK, Bytes::from_static(b"{}")),
+            Some(EndAnswer::Unknown) => own(StatusCode::NOT_FOUND, "there is no such batch job\n"),
+            _ => self.unsure(),
+        }
+    }
+}
+
+fn at(map: &StoreMap, host: &str, who: Who) -> Option<SocketAddr> {
+    match who {
+        Who::Head => map.head_of(host),
+        Who::Tail => map.tail_of(host),
+    }
+}
+
+/// Takes a batch job, if the store that keeps it says so.
+pub async fn submit(carrier: &Rc<Carrier>, request: &Request) -> Answer {
+    let Some(config) = carrier.config() else {
+        return refused(
+            StatusCode::SERVICE_UNAVAILABLE,
+            "no configuration is in force here yet\n",
+            BUSY_AGAIN_MS,
+        );
+    };
+    let route = config.route(&request.host, request.target.path()).filter(|route| route.kind == Kind::Bulk);
+    let Some(route) = route else { return own(StatusCode::NOT_FOUND, "no route leads there\n") };
+    if request.method != Method::POST {
+        return own(StatusCode::METHOD_NOT_ALLOWED, "batch jobs come by POST\n");
+    }
+    let lot = request.attempt.to_str().ok().filter(|id| check_lot_id(id).is_ok());
+    let (Some(lot), Ok(items)) = (lot, read_submit(&request.body)) else {
+        return own(StatusCode::BAD_REQUEST, "the batch job can't be read\n");
+    };
+    let excess = carrier.settings.borrow().bounds.quota_excess;
+    let now = carrier.clock.now();
+    let call = SubmitCall {
+        host: route.host.clone(),
+        route: route.name.clone(),
+        lot: lot.into(),
+        age_ms: now.saturating_sub(request.came),
+        due_ms: route.due_ms,
+        retain_ms: route.retain_ms,
+        max_queued: route.max_queued,
+        excess_permille: (excess.clamp(0.0, 1_000.0) * 1_000.0) as u32,
+        tries: route.tries,
+        items,
+    };
+    let patience = request.deadline_ms.unwrap_or(route.timeout_ms).min(route.timeout_ms) / 2;
+    let call_at = Call { carrier, host: &route.host, came: request.came };
+    let until = call_at.until(patience.max(SUBMIT_LEAST_MS));
+    let (answer, unclear) = call_at
+        .ask(Who::Head, SUBMIT, call.encode(), until, Duration::ZERO, |body| {
+            Some(match SubmitAnswer::decode(body).ok()? {
+                SubmitAnswer::Moved { to } => Heard::Moved(to),
+                SubmitAnswer::Unsure => Heard::Unsure,
+                said => Heard::This(said),
+            })
+        })
+        .await;
+    match answer {
+        Some(SubmitAnswer::Taken) => {
+            one(&carrier.counts.lots);
+            json(StatusCode::ACCEPTED, Bytes::from_static(b"{}"))
+        }
+        Some(SubmitAnswer::Bad { .. }) if !unclear => {
+            own(StatusCode::BAD_REQUEST, "the batch job can't be taken\n")
+        }
+        Some(SubmitAnswer::Full) if !unclear => {
+            refused(StatusCode::TOO_MANY_REQUESTS, "no more tokens may wait on this route\n", FULL_AGAIN_MS)
+        }
+        // What an earlier call may have brought about is no promise.
+        _ if unclear => {
+            one(&carrier.counts.unsure);
+            own(StatusCode::GATEWAY_TIMEOUT, "no store can say for sure\n")
+        }
+        _ => refused(StatusCode::SERVICE_UNAVAILABLE, "no store takes batch jobs just now\n", BUSY_AGAIN_MS),
+    }
+}
--- /dev/null
+++ b/crates/carrier/src/report.rs
@@ -0,0 +1,68 @@
+//! Runners' reports of themselves, asked for where the choice finds them worth their price.
+
+use crate::carrier::Carrier;
+use crate::choice::Key;
+use crate::counts::one;
+use crate::upstream::Upstream;
+use bytes::{Bytes, BytesMut};
+use engine_choice::Report;
+use http_body_util::Full;
+use hyper::header::{HeaderValue, HOST};
+use hyper::{Request, StatusCode, Uri};
+use serde_json::Value;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use tokio::time::{timeout, Duration};
+
+/// A runner that lives answers within this: it needs no slot for it.
+const WITHIN: Duration = Duration::from_millis(500);
+/// The longest report.
+const LONGEST: usize = 64 * 1024;
+
+/// Asks a runner, and tells the choice.
+pub async fn ask(carrier: Rc<Carrier>, key: Key, addr: SocketAddr) {
+    let report = timeout(WITHIN, fetch(&carrier, key, addr)).await.ok().flatten();
+    carrier.choice.reported(key, report);
+}
+
+async fn fetch(carrier: &Rc<Carrier>, key: Key, addr: SocketAddr) -> Option<Report> {
+    let mut upstream = match carrier.choice.idle(key) {
+        Some(upstream) => upstream,
+        None if !carrier.choice.may_open(key) => return None,
+        None => {
+            one(&carrier.counts.opened);
+            Upstream::open(addr, carrier.choice.counted(key)).await.ok()?
+        }
+    };
+    let mut request = Request::new(Full::new(Bytes::new()));
+    *request.uri_mut() = Uri::from_static("/-/report");
+    request.headers_mut().insert(HOST, HeaderValue::try_from(addr.to_string()).ok()?);
+    let (head, mut body) = upstream.send(request).await.ok()?.into_parts();
+    let mut text = BytesMut::new();
+    while let Some(data) = upstream.data(&mut body).await {
+        text.extend_from_slice(&data.ok()?);
+        if text.len() > LONGEST {
+            return None;
+        }
+    }
+    let report = (head.status == StatusCode::OK).then(|| read(&text)).flatten();
+    // Something else than a report may be another request's answer that came late.
+    report?;
+    if let Some(upstream) = upstream.rest(&head.headers) {
+        carrier.choice.keep(key, upstream);
+    }
+    report
+}
+
+/// What a report says.
+pub fn read(text: &[u8]) -> Option<Report> {
+    let value: Value = serde_json::from_slice(text).ok()?;
+    let figure = |name: &str| value.get(name).and_then(Value::as_u64);
+    let small = |name: &str| figure(name).map(|n| u32::try_from(n).unwrap_or(u32::MAX));
+    Some(Report {
+        queued: small("Queued")?,
+        active: small("Active")?,
+        kv_in_use: figure("KvInUse").unwrap_or(0),
+        kv_size: figure("KvSize").unwrap_or(0),
+    })
+}
--- /dev/null
+++ b/crates/carrier/src/run.rs
@@ -0,0 +1,251 @@
+//! The program: start, what happens by the clock, reload, stop.
+
+use crate::carrier::{Carrier, Clock};
+use crate::choice::Choosing;
+use crate::control::{self, Control, Hub};
+use crate::counts::{Counts, EVERY_MS};
+use crate::front::Front;
+use crate::items::{self, Items};
+use crate::memory::Memory;
+use crate::{limits, ready, report, stop};
+use http1::{Connections, Phase};
+use peer_link::{Links, Me};
+use slog::{crit, error, info, warn, Logger};
+use std::cell::{Cell, RefCell};
+use std::collections::hash_map::RandomState;
+use std::future::Future;
+use std::hash::{BuildHasher, Hasher};
+use std::net::SocketAddr;
+use std::process::ExitCode;
+use std::rc::Rc;
+use tier_log::Rarely;
+use tier_settings::{PeerRole, Settings, SettingsError};
+use tokio::net::{TcpListener, TcpSocket};
+use tokio::signal::unix::{signal, SignalKind};
+use tokio::sync::{watch, Notify};
+use tokio::task::{spawn_local, LocalSet};
+use tokio::time::{interval, Duration, MissedTickBehavior};
+
+/// How often time passes for all that has no timer of its own.
+const TICK: Duration = Duration::from_millis(100);
+/// How often connections to runners that are kept are looked through, in ticks.
+const SWEEP_EVERY: u64 = 5;
+/// Connections that may wait to be accepted: a full queue drops the opening of a client, which comes again after seconds.
+const BACKLOG: u32 = 4_096;
+/// Descriptors that are left to files, listeners and the connections to other processes.
+const DESCRIPTORS_KEPT: u64 = 400;
+/// The share of the others that clients' connections may take; the rest is for runners'.
+const CLIENTS_SHARE: f64 = 0.6;
+/// The share of the memory that clients' bodies may take.
+const BODIES_SHARE: u64 = 4;
+
+/// Why a carrier can't start.
+#[derive(Debug, thiserror::Error)]
+pub enum StartError {
+    /// The settings file.
+    #[error("{0}")]
+    Settings(#[from] SettingsError),
+    /// Something is missing in it.
+    #[error("this role needs {0} in the settings")]
+    Lacks(&'static str),
+    /// An address that is taken.
+    #[error("can't listen at {0}: {1}")]
+    Listen(SocketAddr, std::io::Error),
+    /// Something else of the system.
+    #[error("the system: {0}")]
+    System(std::io::Error),
+}
+
+/// Runs the program until it was told to stop.
+pub fn main() -> ExitCode {
+    let settings = match Settings::load() {
+        Ok(settings) => settings,
+        Err(e) => {
+            crit!(tier_log::logger("", "carrier"), "can't start"; "why" => %e);
+            return ExitCode::from(2);
+        }
+    };
+    let log = tier_log::logger(&settings.node, &settings.role);
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+    let ended = match runtime {
+        Ok(runtime) => LocalSet::new().block_on(&runtime, start(settings, log.clone())),
+        Err(e) => Err(StartError::System(e)),
+    };
+    match ended {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(e) => {
+            crit!(log, "can't start"; "why" => %e);
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn listen(addr: SocketAddr) -> Result<TcpListener, StartError> {
+    let open = || {
+        let socket = if addr.is_ipv4() { TcpSocket::new_v4() } else { TcpSocket::new_v6() }?;
+        socket.set_reuseaddr(true)?;
+        socket.bind(addr)?;
+        socket.listen(BACKLOG)
+    };
+    open().map_err(|e| StartError::Listen(addr, e))
+}
+
+/// A number that no other process has: the standard library draws its keys from the system.
+fn drawn() -> u64 {
+    RandomState::new().build_hasher().finish().max(1)
+}
+
+async fn start(settings: Settings, log: Logger) -> Result<(), StartError> {
+    let mut term = signal(SignalKind::terminate()).map_err(StartError::System)?;
+    let mut hup = signal(SignalKind::hangup()).map_err(StartError::System)?;
+    let me = settings.peer_addr(PeerRole::Carrier)?;
+    let http = listen(settings.http.ok_or(StartError::Lacks("Bind.Http"))?)?;
+    let readyz = listen(settings.readyz.ok_or(StartError::Lacks("Bind.Readyz"))?)?;
+    let peers = listen(me)?;
+    info!(log, "started"; "node" => settings.node.as_str(), "zone" => settings.zone.as_str(), "peer" => %me);
+    let process = Process::new(settings, log, me, drawn());
+    process.serve(http, readyz, peers);
+    loop {
+        tokio::select! {
+            biased;
+            _ = term.recv() => break,
+            _ = hup.recv() => process.reload(Settings::load()),
+        }
+    }
+    process.stop().await;
+    Ok(())
+}
+
+/// The process, apart from signals and the settings file.
+pub struct Process {
+    /// What its parts share.
+    pub carrier: Rc<Carrier>,
+}
+
+impl Process {
+    /// One that does nothing yet.
+    pub fn new(settings: Settings, log: Logger, me: SocketAddr, id: u64) -> Self {
+        let clock = Clock::start();
+        let (phase, phases) = watch::channel(Phase::Serving);
+        let descriptors = settings.limits.nofile.saturating_sub(DESCRIPTORS_KEPT).max(64);
+        let most = (descriptors as f64 * CLIENTS_SHARE) as usize;
+        let connections = Rc::new(Connections::new(phases, most, limits::at_first()));
+        let bodies = settings.limits.ram_mb.max(16) * 1024 * 1024 / BODIES_SHARE;
+        let links = Links::new(Me { addr: me, id, node: settings.node.clone(), zone: settings.zone.clone() });
+        let carrier = Rc::new(Carrier {
+            clock,
+            id,
+            choice: Choosing::new(id, &settings.zone, clock),
+            control: Control::new(id, me),
+            items: Items::default(),
+            connections,
+            memory: Memory::new(usize::try_from(bodies).unwrap_or(usize::MAX)),
+            counts: Counts::default(),
+            links,
+            map: RefCell::default(),
+            changed: Notify::new(),
+            phase,
+            stopped: Cell::new(None),
+            was_ready: Cell::new(false),
+            rarely: RefCell::new(Rarely::default()),
+            config: RefCell::default(),
+            settings: RefCell::new(Rc::new(settings)),
+            log,
+        });
+        limits::apply(&carrier, &route_config::Limits::default());
+        Process { carrier }
+    }
+
+    /// Serves on these sockets.
+    pub fn serve(&self, http: TcpListener, readyz: TcpListener, peers: TcpListener) {
+        let carrier = &self.carrier;
+        let asked = Rc::clone(carrier);
+        spawn_local(ready::serve(readyz, Rc::new(move || asked.is_ready())));
+        spawn_local(Rc::clone(&carrier.links).serve(peers, Rc::new(Hub(Rc::clone(carrier)))));
+        let front = Rc::new(Front(Rc::clone(carrier)));
+        spawn_local(Rc::clone(&carrier.connections).accept(front, http));
+        control::follow(carrier, carrier.clock.now());
+        spawn_local(ticks(Rc::clone(carrier)));
+    }
+
+    /// The settings file has changed: what may change of it takes effect, requests go on.
+    pub fn reload(&self, read: Result<Settings, SettingsError>) {
+        let carrier = &self.carrier;
+        match read {
+            Ok(new) => {
+                let mut settings = (**carrier.settings.borrow()).clone();
+                let same = settings.peers == new.peers && settings.bounds == new.bounds;
+                settings.peers = new.peers;
+                settings.bounds = new.bounds;
+                settings.zones = new.zones;
+                settings.guarantees = new.guarantees;
+                *carrier.settings.borrow_mut() = Rc::new(settings);
+                control::follow(carrier, carrier.clock.now());
+                info!(carrier.log, "settings read again"; "changed" => !same);
+            }
+            Err(e) => error!(carrier.log, "the settings stay as they were"; "why" => %e),
+        }
+    }
+
+    /// Ends in order. Comes back when the process may end.
+    pub async fn stop(&self) {
+        let carrier = &self.carrier;
+        let began = carrier.clock.now();
+        carrier.stopped.set(Some(began));
+        let grace = carrier.settings.borrow().bounds.grace_ms;
+        info!(carrier.log, "stopping"; "connections" => carrier.connections.open(), "items" => carrier.items.len());
+        let mut closed = false;
+        loop {
+            let since = carrier.clock.now().saturating_sub(began);
+            let open = carrier.connections.open() + carrier.items.len();
+            let ending = stop::ending(since, grace, open);
+            if *carrier.phase.borrow() != ending.phase {
+                carrier.phase.send_replace(ending.phase);
+            }
+            if ending.over {
+                break;
+            }
+            // Those below in the tree go on following it while it may still be asked by clients.
+            if ending.phase == Phase::Closing && !closed {
+                closed = true;
+                control::close(carrier);
+            }
+            tokio::time::sleep(Duration::from_millis(ending.next_ms)).await;
+        }
+        let left = carrier.connections.open();
+        if left > 0 || !carrier.items.is_empty() {
+            warn!(carrier.log, "ending with something open"; "connections" => left, "items" => carrier.items.len());
+        }
+        let _ = carrier.links.flush(Duration::from_millis(100)).await;
+        info!(carrier.log, "ended"; "after_ms" => carrier.clock.now().saturating_sub(began));
+    }
+}
+
+/// What happens by the clock.
+fn ticks(carrier: Rc<Carrier>) -> impl Future<Output = ()> {
+    async move {
+        let mut ticks = interval(TICK);
+        ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        let (mut count, mut written) = (0_u64, 0);
+        loop {
+            ticks.tick().await;
+            let now = carrier.clock.now();
+            count += 1;
+            control::tick(&carrier, now);
+            carrier.connections.guards().sweep();
+            for (key, addr) in carrier.choice.tick(now) {
+                spawn_local(report::ask(Rc::clone(&carrier), key, addr));
+            }
+            items::tick(&carrier, now);
+            if count % SWEEP_EVERY == 0 {
+                carrier.choice.sweep();
+            }
+            if now >= written + EVERY_MS {
+                written = now;
+                if !carrier.counts.is_empty() {
+                    carrier.counts.write(&carrier.log);
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/carrier/src/stream.rs
@@ -0,0 +1,355 @@
+//! Streams of events: passed on as they come, taken up at another runner where one breaks off.
+//!
+//! The answer's head waits for the first event: until then nothing is owed to the client, and a runner that breaks off is
+//! like one that never began.
+
+use crate::answer::{own, Answer, AnswerBody, Cut, Outlet, Pieces};
+use crate::carrier::Carrier;
+use crate::choice::{Ask, Choice, Word};
+use crate::counts::one;
+use crate::events::Events;
+use crate::forward::{passed_on, send, Begun, RouteTerms, Sent, Tried, UNSENT_MOST};
+use crate::request::Request;
+use bytes::Bytes;
+use http1::Guard;
+use hyper::body::Incoming;
+use hyper::header::{HeaderValue, CONTENT_LENGTH, TRANSFER_ENCODING};
+use hyper::http::response::Parts;
+use hyper::{HeaderMap, StatusCode};
+use std::future::Future;
+use std::pin::pin;
+use std::rc::Rc;
+use std::task::Poll;
+use tokio::time::{sleep_until, timeout, Duration, Instant, Sleep};
+
+/// A runner that says nothing for so many of the pauses that its clients bear, and for at least so long, is taken for dark,
+/// where its stream can be taken up at another. Clients give up after eight such pauses or two seconds.
+const SILENT_GAPS: u64 = 3;
+const SILENT_LEAST: Duration = Duration::from_millis(750);
+/// A client gives a stream up after a silence of two seconds or more; another runner is looked for no longer than this.
+const TAKE_UP_MS: u64 = 1_800;
+/// How long is waited before another look for a runner, if nothing calls before.
+const LOOK_AGAIN: Duration = Duration::from_millis(20);
+/// After a pause this long the choice is told that the runner lives.
+const TOLD_EVERY: Duration = Duration::from_millis(50);
+
+/// Why no more bytes come of one runner.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum End {
+    /// The body is whole.
+    Whole,
+    /// The connection ended.
+    Broken,
+    /// Nothing came for too long.
+    Silent,
+    /// The request's time is over.
+    Late,
+    /// The runner seems to hang, and has said nothing yet.
+    Overdue,
+}
+
+impl End {
+    /// What it means for the send.
+    pub fn word(self) -> Word {
+        match self {
+            End::Whole => Word::Done,
+            End::Broken => Word::Broken,
+            End::Silent | End::Late => Word::TimedOut,
+            End::Overdue => Word::BrokenOff,
+        }
+    }
+}
+
+/// A stream that comes from a runner.
+pub struct Source {
+    /// Where it comes from.
+    pub begun: Begun,
+    /// What has come of it.
+    pub events: Events,
+    /// When the request's time is over.
+    pub until: Instant,
+    /// The longest silence, if the stream can be taken up elsewhere.
+    pub silence: Option<Duration>,
+    /// When the last event came.
+    pub heard: Instant,
+}
+
+impl Source {
+    /// The first whole events. `again`: a runner that seems to hang before it is left.
+    ///
+    /// # Errors
+    /// There are none.
+    pub async fn first(&mut self, again: bool) -> Result<Bytes, End> {
+        let mut timer = pin!(sleep_until(self.until));
+        loop {
+            let (upstream, body) = (&mut self.begun.upstream, &mut self.begun.body);
+            let data = tokio::select! {
+                biased;
+                data = upstream.data(body) => data,
+                () = self.begun.sending.overdue(), if again => return Err(End::Overdue),
+                () = &mut timer => return Err(End::Late),
+            };
+            let Some(data) = data else { return Err(End::Whole) };
+            let whole = self.events.take(data.map_err(|_| End::Broken)?).map_err(|_| End::Broken)?;
+            if !whole.is_empty() {
+                self.heard = Instant::now();
+                return Ok(whole);
+            }
+        }
+    }
+
+    /// The next whole events.
+    ///
+    /// # Errors
+    /// There are none.
+    pub async fn next(&mut self, timer: &mut std::pin::Pin<&mut Sleep>) -> Result<Bytes, End> {
+        loop {
+            let (upstream, body) = (&mut self.begun.upstream, &mut self.begun.body);
+            let data = std::future::poll_fn(|cx| {
+                if let Poll::Ready(data) = upstream.poll_data(cx, body) {
+                    return Poll::Ready(Some(data));
+                }
+                // The timer is moved only when it fires: an event costs none.
+                while timer.as_mut().poll(cx).is_ready() {
+                    let due = self.silence.map_or(self.until, |most| (self.heard + most).min(self.until));
+                    if due <= Instant::now() {
+                        return Poll::Ready(None);
+                    }
+                    timer.as_mut().reset(due);
+                }
+                Poll::Pending
+            })
+            .await;
+            match data {
+                None if Instant::now() >= self.until => return Err(End::Late),
+                None => return Err(End::Silent),
+                Some(None) => return Err(End::Whole),
+                Some(Some(Err(_))) => return Err(End::Broken),
+                Some(Some(Ok(data))) => {
+                    let whole = self.events.take(data).map_err(|_| End::Broken)?;
+                    if !whole.is_empty() {
+                        let now = Instant::now();
+                        if now.duration_since(self.heard) >= TOLD_EVERY {
+                            self.begun.sending.event();
+                        }
+                        self.heard = now;
+                        return Ok(whole);
+                    }
+                }
+            }
+        }
+    }
+}
+
+/// The longest silence amid a stream that can be taken up elsewhere.
+pub fn silence(terms: &RouteTerms) -> Option<Duration> {
+    let most = Duration::from_millis(terms.gap_ms.unwrap_or(0).saturating_mul(SILENT_GAPS));
+    terms.resumable.then(|| most.max(SILENT_LEAST))
+}
+
+/// Whether the end of a body can be told from a connection that broke.
+pub fn shows_its_end(head: &HeaderMap) -> bool {
+    head.contains_key(TRANSFER_ENCODING) || head.contains_key(CONTENT_LENGTH)
+}
+
+/// Waits for the first event and begins the answer; none where the runner broke off before it and it may be repeated.
+pub async fn answer(
+    carrier: &Rc<Carrier>,
+    request: &Rc<Request>,
+    terms: &RouteTerms,
+    tried: &mut Tried,
+    begun: Begun,
+    guard: &Rc<Guard>,
+) -> Option<Answer> {
+    let now = carrier.clock.now();
+    let left = Duration::from_millis(carrier.left_ms(request, terms.timeout_ms, now));
+    let heard = Instant::now();
+    let again = terms.resumable && tried.sends < terms.tries;
+    let mut source = Source { begun, events: Events::default(), until: heard + left, silence: None, heard };
+    let first = source.first(again).await;
+    match first {
+        Ok(first) => {
+            source.begun.sending.first_token();
+            source.silence = silence(terms);
+            let head = head_of(&source.begun.head);
+            let outlet = Outlet::default();
+            let tried = std::mem::take(tried);
+            let run = run(Rc::clone(carrier), Rc::clone(request), *terms, tried, source, outlet.clone());
+            let body = Pieces::new(first, outlet, run, Rc::clone(guard));
+            Some(passed_on(head, AnswerBody::Pieces(Box::new(body))))
+        }
+        Err(End::Whole) => {
+            // No event at all: what came is passed on as it is.
+            let rest = source.events.rest();
+            let Begun { head, upstream, mut sending, .. } = source.begun;
+            sending.end(Word::Done);
+            if let Some(upstream) = upstream.rest(&head.headers) {
+                carrier.choice.keep(sending.key(), upstream);
+            }
+            one(&carrier.counts.served);
+            Some(passed_on(head, AnswerBody::Whole(Some(rest))))
+        }
+        Err(end) => {
+            one(&carrier.counts.broken);
+            source.begun.sending.end(end.word());
+            if again && end != End::Late {
+                return None;
+            }
+            one(&carrier.counts.failed);
+            Some(match end {
+                End::Late => own(StatusCode::GATEWAY_TIMEOUT, "no runner answered in time\n"),
+                _ => own(StatusCode::BAD_GATEWAY, "a runner broke off\n"),
+            })
+        }
+    }
+}
+
+/// A copy of a head; the own one stays with the source, which asks it later whether the connection can be kept.
+fn head_of(head: &Parts) -> Parts {
+    let mut answer = hyper::Response::new(());
+    *answer.status_mut() = head.status;
+    *answer.headers_mut() = head.headers.clone();
+    answer.into_parts().0
+}
+
+/// The stream from its second events on.
+async fn run(
+    carrier: Rc<Carrier>,
+    request: Rc<Request>,
+    terms: RouteTerms,
+    mut tried: Tried,
+    mut source: Source,
+    outlet: Outlet,
+) -> Result<(), Cut> {
+    let mut timer = pin!(sleep_until(source.heard));
+    loop {
+        let end = match source.next(&mut timer).await {
+            Ok(events) => {
+                outlet.put(events).await;
+                continue;
+            }
+            Err(end) => end,
+        };
+        let framed = shows_its_end(&source.begun.head.headers);
+        let whole = end == End::Whole && (framed || !terms.resumable);
+        if whole {
+            outlet.put(source.events.rest()).await;
+            let Begun { head, upstream, mut sending, .. } = source.begun;
+            sending.end(Word::Done);
+            if let Some(upstream) = upstream.rest(&head.headers) {
+                carrier.choice.keep(sending.key(), upstream);
+            }
+            one(&carrier.counts.served);
+            return Ok(());
+        }
+        one(&carrier.counts.broken);
+        source.begun.sending.end(end.word());
+        let behind = source.events.last_id().and_then(|id| HeaderValue::from_bytes(id).ok());
+        let (Some(behind), true, true) = (behind, terms.resumable, end != End::Late) else {
+            one(&carrier.counts.cut);
+            return Err(Cut("a runner broke off"));
+        };
+        drop(source.begun);
+        let begun = match take_up(&carrier, &request, &mut tried, &behind).await {
+            Some(begun) => begun,
+            None => {
+                one(&carrier.counts.cut);
+                return Err(Cut("a runner broke off, and no other goes on"));
+            }
+        };
+        one(&carrier.counts.resumed);
+        source.events.taken_up(behind.as_bytes());
+        source = Source { begun, heard: Instant::now(), ..source };
+    }
+}
+
+/// Another runner that goes on behind an event; none if there is none, or none in time.
+async fn take_up(
+    carrier: &Rc<Carrier>,
+    request: &Rc<Request>,
+    tried: &mut Tried,
+    behind: &HeaderValue,
+) -> Option<Begun> {
+    let until = carrier.clock.now() + TAKE_UP_MS;
+    let mut place = None;
+    loop {
+        let now = carrier.clock.now();
+        let config = carrier.config()?;
+        let route = config.route(&request.host, request.target.path()).filter(|route| route.resumable)?;
+        // Another service may say something else from the same place on.
+        let same = request.svc.borrow().as_ref().is_some_and(|svc| route.leads_to(svc));
+        let terms = RouteTerms::of(route);
+        let left_ms = carrier.left_ms(request, terms.timeout_ms, now);
+        if !same || now >= until || left_ms == 0 || tried.sends >= terms.tries || tried.unsent >= UNSENT_MOST
+        {
+            return None;
+        }
+        let ask = Ask { request, route, tried, left_ms, now, amid: true };
+        let chosen = match carrier.choice.choose(&ask) {
+            Choice::Runner(chosen) => chosen,
+            // What is begun is not refused while its client may still wait for more of it.
+            Choice::Hold { .. } | Choice::Refuse { .. } => {
+                let place = place.get_or_insert_with(|| carrier.choice.queue(request, 0));
+                let _ = timeout(LOOK_AGAIN, place.turn()).await;
+                continue;
+            }
+        };
+        match send(carrier, request, &terms, chosen, tried, Some(behind)).await {
+            Sent::Begun(mut begun) if begun.head.status == StatusCode::OK => {
+                // The runner has a place for it.
+                begun.sending.first_token();
+                return Some(*begun);
+            }
+            Sent::Begun(mut begun) => begun.sending.end(Word::Failed),
+            Sent::TimedOut => return None,
+            Sent::Declined(_) | Sent::Broken | Sent::Unsent => {}
+        }
+    }
+}
+
+/// Passes on a body of which some has come, byte for byte.
+pub fn pass_on(
+    carrier: &Rc<Carrier>,
+    request: &Rc<Request>,
+    terms: &RouteTerms,
+    begun: Begun,
+    start: Bytes,
+    guard: &Rc<Guard>,
+) -> Answer {
+    let left = carrier.left_ms(request, terms.timeout_ms, carrier.clock.now());
+    let until = Instant::now() + Duration::from_millis(left);
+    let head = head_of(&begun.head);
+    let outlet = Outlet::default();
+    let run = bytes_on(Rc::clone(carrier), begun, until, outlet.clone());
+    passed_on(head, AnswerBody::Pieces(Box::new(Pieces::new(start, outlet, run, Rc::clone(guard)))))
+}
+
+async fn bytes_on(carrier: Rc<Carrier>, begun: Begun, until: Instant, outlet: Outlet) -> Result<(), Cut> {
+    let Begun { head, mut body, mut upstream, mut sending } = begun;
+    loop {
+        let data = tokio::time::timeout_at(until, next_bytes(&mut upstream, &mut body)).await;
+        match data {
+            Ok(Some(Ok(data))) => outlet.put(data).await,
+            Ok(None) => {
+                sending.end(Word::Done);
+                if let Some(upstream) = upstream.rest(&head.headers) {
+                    carrier.choice.keep(sending.key(), upstream);
+                }
+                one(&carrier.counts.served);
+                return Ok(());
+            }
+            Ok(Some(Err(_))) | Err(_) => {
+                sending.end(Word::Broken);
+                one(&carrier.counts.cut);
+                return Err(Cut("a runner broke off"));
+            }
+        }
+    }
+}
+
+async fn next_bytes(
+    upstream: &mut crate::upstream::Upstream,
+    body: &mut Incoming,
+) -> Option<Result<Bytes, crate::upstream::Broken>> {
+    upstream.data(body).await
+}
--- /dev/null
+++ b/crates/carrier/tests/common/keeper.rs
@@ -0,0 +1,100 @@
+//! A stand-in of a keeper: a root of the tree of relays that tells what a test sets.
+
+use bytes::Bytes;
+use peer_link::{Handler, Links, Me, Peer, Reply};
+use relay_tree::{Board, Follow, Msg, Stamp};
+use std::cell::{Cell, RefCell};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use tier_facts::{encode_addresses, HELLO, KEEPERS, RELAY};
+use tokio::net::TcpListener;
+use tokio::task::spawn_local;
+use tokio::time::Instant;
+
+pub struct Keeper {
+    pub addr: SocketAddr,
+    pub links: Rc<Links>,
+    board: RefCell<Board>,
+    since: Instant,
+    /// How old what it tells is; none: in touch.
+    pub age: Cell<u64>,
+    pub hellos: Cell<u64>,
+}
+
+impl Keeper {
+    pub async fn new() -> Rc<Self> {
+        let socket = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let addr = socket.local_addr().unwrap();
+        let me = Me { addr, id: 11, node: "edge-a-0".into(), zone: "a".into() };
+        let keeper = Rc::new(Keeper {
+            addr,
+            links: Links::new(me),
+            board: RefCell::new(Board::new(11, addr, Follow::All, true)),
+            since: Instant::now(),
+            age: Cell::new(0),
+            hellos: Cell::new(0),
+        });
+        keeper.set(KEEPERS, Stamp(1, 0), Some(encode_addresses(&[addr])));
+        spawn_local(Rc::clone(&keeper.links).serve(socket, Rc::new(Ear(Rc::clone(&keeper)))));
+        let ticking = Rc::clone(&keeper);
+        spawn_local(async move {
+            let mut ticks = tokio::time::interval(Duration::from_millis(20));
+            loop {
+                ticks.tick().await;
+                let now = ticking.now();
+                ticking.board.borrow_mut().pulse(now, ticking.age.get());
+                ticking.board.borrow_mut().tick(now);
+                ticking.send();
+            }
+        });
+        keeper
+    }
+
+    fn now(&self) -> u64 {
+        self.since.elapsed().as_millis() as u64 + 1
+    }
+
+    pub fn set(&self, key: &str, stamp: Stamp, value: Option<Bytes>) {
+        self.board.borrow_mut().set(self.now(), key, stamp, value);
+        self.send();
+    }
+
+    pub fn configuration(&self, gen: u64, body: &str) {
+        self.set("config/next", Stamp(gen, 0), Some(Bytes::copy_from_slice(body.as_bytes())));
+    }
+
+    pub fn activate(&self, gen: u64) {
+        self.set("config/active", Stamp(gen, 0), Some(Bytes::new()));
+    }
+
+    /// How many processes have a fact, of those that follow.
+    pub fn confirmed(&self, key: &str, stamp: Stamp) -> usize {
+        self.board.borrow().confirmed(key, stamp).confirmed
+    }
+
+    fn send(&self) {
+        let messages = self.board.borrow_mut().take();
+        for (to, msg) in messages {
+            self.links.tell(to, RELAY, msg.encode());
+        }
+    }
+}
+
+struct Ear(Rc<Keeper>);
+
+impl Handler for Ear {
+    fn told(&self, from: &Rc<Peer>, kind: u16, body: Bytes) {
+        match kind {
+            RELAY => {
+                let now = self.0.now();
+                self.0.board.borrow_mut().message(now, from.addr, Msg::decode(body).unwrap());
+                self.0.send();
+            }
+            HELLO => self.0.hellos.set(self.0.hellos.get() + 1),
+            _ => panic!("a frame of kind {kind}"),
+        }
+    }
+
+    fn called(&self, _: &Rc<Peer>, _: u16, _: Bytes, _: Reply) {}
+}
--- /dev/null
+++ b/crates/carrier/tests/items.rs
@@ -0,0 +1,198 @@
+//! Items of lots: fetched, run, and their results handed over.
+
+mod common;
+
+use common::store::{map, tell_map, Say, Store};
+use common::*;
+use lots::wire::{
+    partition_of, Done, DoneAnswer, DoneCall, FetchAnswer, FetchCall, Header, HoldAnswer, HoldCall, HoldPart,
+    Item, Leased, Message, Outcome, PartAnswer, DONE, FETCH, HOLD,
+};
+use runner_registry::RunnerState;
+use std::cell::RefCell;
+use std::collections::VecDeque;
+use std::rc::Rc;
+use tokio::sync::Notify;
+
+fn leased(index: u32) -> Leased {
+    let header = |name: &str, value: &str| Header { name: name.into(), value: value.into() };
+    let headers =
+        vec![header("Fordrelay-Tokens", "540,400"), header("Fordrelay-Prompt-Prefix", "9c:300,5d:240")];
+    Leased {
+        host: "h.example".into(),
+        route: "bulk".into(),
+        lot: "lot-1".into(),
+        index,
+        lease: 100 + u64::from(index),
+        due_in_ms: 10_000,
+        retain_in_ms: 60_000,
+        tries_left: 2,
+        item: Item {
+            id: format!("item-{index}").into(),
+            path: "/bulk/3/91c4".into(),
+            headers,
+            body: "the body".into(),
+            tokens: 940,
+        },
+    }
+}
+
+/// A store that gives these items, one a fetch, and takes all results; what is to be dropped is asked of a function.
+async fn store(items: Vec<Leased>, drops: impl Fn(&HoldCall) -> PartAnswer + 'static) -> Rc<Store> {
+    let items = RefCell::new(VecDeque::from(items));
+    Store::new(1, move |kind, body| {
+        Say::This(match kind {
+            FETCH => {
+                let call = FetchCall::decode(body).unwrap();
+                assert!(call.wants.iter().all(|want| want.route == "bulk" && want.want > 0));
+                let items = items.borrow_mut().pop_front().into_iter().collect::<Vec<_>>();
+                if items.is_empty() {
+                    return Say::Silence;
+                }
+                FetchAnswer { items, elsewhere: vec![] }.encode()
+            }
+            DONE => DoneAnswer::Accepted.encode(),
+            HOLD => {
+                let call = HoldCall::decode(body).unwrap();
+                let answer = drops(&call);
+                let partition = call.parts[0].partition;
+                HoldAnswer { parts: vec![HoldPart { partition, answer }] }.encode()
+            }
+            other => panic!("asked {other:#x}"),
+        })
+    })
+    .await
+}
+
+fn none(_: &HoldCall) -> PartAnswer {
+    PartAnswer::Drop { drop: vec![] }
+}
+
+fn results(store: &Store) -> Vec<Done> {
+    let calls: Vec<DoneCall> = store.of(DONE).iter().map(|body| DoneCall::decode(body).unwrap()).collect();
+    assert!(calls.iter().all(|call| usize::from(call.partition) == partition_of("h.example")));
+    calls.into_iter().flat_map(|call| call.results).collect()
+}
+
+async fn rig(store: &Store, runners: &[&StandIn]) -> Rig {
+    let rig = Rig::new(CONFIG, runners).await;
+    tell_map(&rig.process.carrier, map(1, &[store.addr]));
+    rig
+}
+
+fn text(outcome: &Outcome) -> &str {
+    match outcome {
+        Outcome::Complete { text } => std::str::from_utf8(text).unwrap(),
+        other => panic!("{other:?}"),
+    }
+}
+
+#[test]
+fn an_item_is_run_as_a_request_and_its_events_are_its_result() {
+    run(async {
+        let runner = StandIn::new("i-1", |_, _| vec![stream_head(), event(1), event(2), last_chunk()]).await;
+        let store = store(vec![leased(0), leased(1)], none).await;
+        let rig = rig(&store, &[&runner]).await;
+        store.until(|s| results(s).len() == 2).await;
+        let seen = runner.seen.borrow()[0].clone();
+        assert!(seen.head.starts_with("POST /bulk/3/91c4 HTTP/1.1\r\n"));
+        assert_eq!(seen.body, b"the body");
+        assert_eq!(seen.header("host"), Some("h.example"));
+        assert!(seen.header("fordrelay-attempt-id").unwrap().starts_with("item-"));
+        assert_eq!(seen.header("fordrelay-want-runner"), Some("i-1"));
+        assert_eq!(seen.header("fordrelay-tokens"), Some("540,400"));
+        assert_eq!(seen.header("fordrelay-deadline-ms"), None);
+        for done in results(&store) {
+            assert_eq!(done.lease, 100 + u64::from(done.index));
+            assert_eq!(text(&done.outcome), "piece 1\npiece 2");
+        }
+        while !rig.process.carrier.items.is_empty() {
+            tokio::task::yield_now().await;
+        }
+    });
+}
+
+#[test]
+fn an_item_that_breaks_off_goes_on_where_it_was() {
+    run(async {
+        let script = |seen: &Seen, n: usize| match (seen.header("last-event-id"), n) {
+            (None, _) => vec![stream_head(), event(1), chunk("id: 2\ndata: pie"), Act::Close],
+            (Some("1"), 1) => vec![declined()],
+            (Some("1"), _) => vec![stream_head(), event(2), event(3), Act::Close],
+            (Some("3"), _) => vec![stream_head(), event(4), last_chunk()],
+            other => panic!("{other:?}"),
+        };
+        let runner = StandIn::new("i-1", script).await;
+        let store = store(vec![leased(0)], none).await;
+        let _rig = rig(&store, &[&runner]).await;
+        store.until(|s| !results(s).is_empty()).await;
+        assert_eq!(text(&results(&store)[0].outcome), "piece 1\npiece 2\npiece 3\npiece 4");
+    });
+}
+
+#[test]
+fn what_a_runner_says_of_an_item_is_told() {
+    run(async {
+        for (status, outcome) in [
+            ("500 Internal Server Error", Outcome::Failed),
+            ("422 Unprocessable Content", Outcome::Impossible),
+        ] {
+            let runner = StandIn::new("i-1", move |_, _| vec![whole(status, SEAL, "no")]).await;
+            let store = store(vec![leased(0)], none).await;
+            let _rig = rig(&store, &[&runner]).await;
+            store.until(|s| !results(s).is_empty()).await;
+            assert_eq!(results(&store)[0].outcome, outcome);
+            assert_eq!(runner.count(), 1);
+        }
+    });
+}
+
+#[test]
+fn an_item_that_no_runner_takes_is_held_and_never_refused() {
+    run(async {
+        let runner = StandIn::new("i-1", |_, n| match n {
+            0..=3 => vec![declined()],
+            _ => vec![stream_head(), event(1), last_chunk()],
+        })
+        .await;
+        let store = store(vec![leased(0)], none).await;
+        let _rig = rig(&store, &[&runner]).await;
+        store.until(|s| !results(s).is_empty()).await;
+        assert_eq!((results(&store).len(), text(&results(&store)[0].outcome)), (1, "piece 1"));
+        assert_eq!(runner.count(), 5);
+    });
+}
+
+#[test]
+fn an_item_that_is_to_be_dropped_ends_at_its_runner_and_says_nothing() {
+    run(async {
+        let gone = Rc::new(Notify::new());
+        let called = gone.clone();
+        let runner =
+            StandIn::new("i-1", move |_, _| vec![stream_head(), event(1), Act::Hang(called.clone())]).await;
+        let store =
+            store(vec![leased(0)], |call| PartAnswer::Drop { drop: call.parts[0].held.clone() }).await;
+        let rig = rig(&store, &[&runner]).await;
+        gone.notified().await;
+        assert!(rig.process.carrier.items.is_empty());
+        assert!(results(&store).is_empty());
+    });
+}
+
+#[test]
+fn a_process_that_stops_hands_back_what_has_not_begun() {
+    run(async {
+        let runner = StandIn::new("i-1", |_, _| vec![declined()]).await;
+        let store = store(vec![leased(0)], none).await;
+        let rig = rig(&store, &[&runner]).await;
+        runner.until(|r| r.count() > 0).await;
+        let carrier = rig.process.carrier.clone();
+        carrier.stopped.set(Some(carrier.clock.now()));
+        store.until(|s| !results(s).is_empty()).await;
+        assert_eq!(results(&store)[0].outcome, Outcome::Released);
+        let fetched = store.of(FETCH).len();
+        rig.tell(&runner.runner("s", RunnerState::Up));
+        store.until(|s| s.of(DONE).len() == 1).await;
+        assert_eq!(store.of(FETCH).len(), fetched);
+    });
+}
--- /dev/null
+++ b/crates/carrier/tests/lifecycle.rs
@@ -0,0 +1,110 @@
+//! When the process is ready, and in which order it ends.
+
+mod common;
+
+use carrier::ready::Readiness;
+use carrier::stop::{answer_within, ending};
+use common::*;
+use http1::Phase;
+use std::rc::Rc;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+use tokio::sync::Notify;
+
+#[test]
+fn a_process_is_ready_once_it_was_told_what_holds_by_a_parent_in_touch() {
+    let told =
+        Readiness { configured: true, age_ms: 300, runners: true, board_at: Some(100), ..Default::default() };
+    assert!(told.judge(200));
+    assert!(!Readiness { configured: false, ..told }.judge(200));
+    assert!(!Readiness { age_ms: 5_000, ..told }.judge(200), "what it was told may be old");
+    assert!(!Readiness { runners: false, ..told }.judge(200), "runners are waited for");
+    assert!(Readiness { runners: false, ..told }.judge(1_100), "but not for ever");
+    assert!(!Readiness { stopping: true, ..told }.judge(200));
+    assert!(
+        Readiness { age_ms: u64::MAX, was_ready: true, ..told }.judge(200),
+        "an outage sends no client away"
+    );
+    assert!(!Readiness { stopping: true, was_ready: true, ..told }.judge(200));
+}
+
+#[test]
+fn the_order_after_sigterm() {
+    let mut said = String::new();
+    for (since, open) in [(0, 0), (2_499, 0), (2_500, 3), (2_500, 0), (7_400, 1), (7_480, 1), (7_500, 1)] {
+        let e = ending(since, 8_000, open);
+        said += &format!(
+            "{since} ms, {open} open: {:?}, over {}, next in {} ms, an answer has {} ms\n",
+            e.phase,
+            e.over,
+            e.next_ms,
+            answer_within(since, 8_000)
+        );
+    }
+    insta::assert_snapshot!(said, @r"
+    0 ms, 0 open: Leaving, over false, next in 2500 ms, an answer has 7500 ms
+    2499 ms, 0 open: Leaving, over false, next in 1 ms, an answer has 5001 ms
+    2500 ms, 3 open: Closing, over false, next in 50 ms, an answer has 5000 ms
+    2500 ms, 0 open: Closing, over true, next in 50 ms, an answer has 5000 ms
+    7400 ms, 1 open: Closing, over false, next in 50 ms, an answer has 100 ms
+    7480 ms, 1 open: Closing, over false, next in 20 ms, an answer has 20 ms
+    7500 ms, 1 open: Closing, over true, next in 0 ms, an answer has 0 ms
+    ");
+    // However short the grace, the process ends before it is over.
+    for grace in [0, 300, 1_000, 4_000] {
+        assert!(ending(grace, grace, 9).over);
+    }
+}
+
+async fn readyz(rig: &Rig) -> String {
+    let mut stream = TcpStream::connect(rig.readyz).await.unwrap();
+    stream.write_all(b"GET /-/readyz HTTP/1.1\r\nHost: x\r\n\r\n").await.unwrap();
+    let mut piece = [0; 256];
+    let read = stream.read(&mut piece).await.unwrap();
+    String::from_utf8_lossy(&piece[..read]).split(' ').nth(1).unwrap_or("").to_owned()
+}
+
+/// The phases are set as SIGTERM sets them, without its waits.
+#[test]
+fn a_process_that_stops_takes_what_comes_until_it_closes_and_answers_what_is_open() {
+    run(async {
+        let go = Rc::new(Notify::new());
+        let called = go.clone();
+        let runner = StandIn::new("i-1", move |seen, _| match seen.header("fordrelay-attempt-id") {
+            Some("slow") => vec![Act::Wait(called.clone()), done("slow")],
+            _ => vec![done("ok")],
+        })
+        .await;
+        let rig = Rc::new(Rig::new(CONFIG, &[&runner]).await);
+        let carrier = rig.process.carrier.clone();
+        carrier.was_ready.set(true);
+        assert_eq!(readyz(&rig).await, "200");
+        let kept = |id: &str| request("/plain/", id, "", "x").replace("Connection: close\r\n", "");
+        let mut idle = TcpStream::connect(rig.http).await.unwrap();
+        let mut piece = [0; 1024];
+        idle.write_all(kept("first").as_bytes()).await.unwrap();
+        let read = idle.read(&mut piece).await.unwrap();
+        assert_eq!(header(&String::from_utf8_lossy(&piece[..read]), "connection"), None);
+        let asking = rig.clone();
+        let slow = tokio::task::spawn_local(async move { asking.ask(&kept("slow")).await });
+        runner.until(|r| r.count() == 2).await;
+
+        carrier.stopped.set(Some(carrier.clock.now()));
+        carrier.phase.send_replace(Phase::Leaving);
+        assert_eq!(readyz(&rig).await, "503");
+        // New connections are served, and told that they end; one that is idle may still ask.
+        let late = rig.ask(&request("/plain/", "late", "", "x").replace("Connection: close\r\n", "")).await;
+        assert!(late.ends_with("ok") && header(&late, "connection") == Some("close"), "{late}");
+
+        carrier.phase.send_replace(Phase::Closing);
+        assert_eq!(idle.read(&mut piece).await.unwrap(), 0, "closed, having asked nothing more");
+        go.notify_one();
+        let slow = slow.await.unwrap();
+        assert!(slow.ends_with("slow") && header(&slow, "connection") == Some("close"), "{slow}");
+        // Its last connections close, and then it may end.
+        while carrier.connections.open() > 0 {
+            tokio::task::yield_now().await;
+        }
+        assert!(ending(3_000, 8_000, carrier.connections.open()).over);
+    });
+}
--- /dev/null
+++ b/crates/chain/src/next.rs
@@ -0,0 +1,130 @@
+//! The rule by which the next view follows from what is seen of the machines. Pure.
+
+use crate::types::{Member, Status, View};
+
+/// Joiners at a time: each costs the tail a copy of the whole table.
+pub const MOST_JOINING: usize = 2;
+
+/// What is seen of a process.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Seen {
+    /// Its id and address; `since` is not heeded.
+    pub member: Member,
+    /// It is there.
+    pub alive: bool,
+    /// What it last said of itself.
+    pub status: Option<Status>,
+    /// Its zone, as a number.
+    pub zone: u64,
+    /// It is about to stop: it goes to the end, or out.
+    pub leaving: bool,
+    /// It is being retired: it goes out once enough others are in sync.
+    pub unwanted: bool,
+}
+
+/// A member of the present view with what is seen of it.
+struct Standing<'a> {
+    member: &'a Member,
+    seen: &'a Seen,
+    /// It holds all that was ever acknowledged.
+    entitled: bool,
+    /// It is in sync in the present view.
+    in_sync: bool,
+}
+
+impl Standing<'_> {
+    fn stays(&self) -> bool {
+        !self.seen.leaving && !self.seen.unwanted
+    }
+}
+
+/// The next view by rule, or none if nothing is to change or nothing can.
+///
+/// A member that is not among `seen` counts as dead, and so does one at whose address another id is alive: that
+/// machine has lost its disk. A dead one is dropped, however few remain, if one remains that holds all that was
+/// acknowledged; the first such is the head.
+pub fn next_view(now_view: &View, seen: &[Seen], wanted_len: usize, least_len: usize) -> Option<View> {
+    let find = |member: &Member| {
+        let replaced = |s: &Seen| s.alive && s.member.addr == member.addr && s.member.id != member.id;
+        if seen.iter().any(replaced) {
+            return None;
+        }
+        seen.iter().find(|s| s.alive && s.member.is(member))
+    };
+    let mut standing: Vec<Standing> = now_view
+        .members
+        .iter()
+        .filter_map(|member| {
+            let seen = find(member)?;
+            let in_sync_view = seen.status.map_or(0, |s| s.in_sync_view);
+            Some(Standing {
+                member,
+                seen,
+                entitled: in_sync_view > 0 && in_sync_view >= member.since,
+                in_sync: in_sync_view >= now_view.number,
+            })
+        })
+        .collect();
+    // The head that is there was entitled when it was made head; another has to show it.
+    let head_there = standing.first().is_some_and(|s| now_view.members.first().is_some_and(|m| m.is(s.member)));
+    if let (true, Some(head)) = (head_there, standing.first_mut()) {
+        head.entitled = true;
+    }
+
+    // Who is retired or about to stop goes once enough others hold all.
+    let usable = seen.iter().filter(|s| s.alive && !s.leaving && !s.unwanted).count();
+    let enough = usable.clamp(least_len.min(wanted_len), wanted_len).max(1);
+    let staying = standing.iter().filter(|s| s.stays() && s.in_sync && s.entitled).count();
+    standing.retain(|s| {
+        let out = s.seen.unwanted && staying >= enough || s.seen.leaving && staying >= least_len.max(1);
+        !out
+    });
+    // The rest of those about to stop goes to the end, so that the head stays when they stop.
+    let could_lead = standing.iter().any(|s| s.entitled && !s.seen.leaving);
+    if could_lead {
+        standing.sort_by_key(|s| s.seen.leaving);
+    }
+    let head = standing.iter().position(|s| s.entitled)?;
+    let head = standing.remove(head);
+    standing.insert(0, head);
+
+    let number = now_view.number + 1;
+    let mut members: Vec<Member> = standing.iter().map(|s| s.member.clone()).collect();
+    let mut zones: Vec<u64> = standing.iter().filter(|s| s.stays()).map(|s| s.seen.zone).collect();
+    let mut room = wanted_len.saturating_sub(zones.len());
+
+    let mut joining = Vec::new();
+    for joiner in &now_view.joining {
+        let Some(seen) = find(joiner).filter(|s| !s.leaving && !s.unwanted) else { continue };
+        if room == 0 {
+            break;
+        }
+        room -= 1;
+        zones.push(seen.zone);
+        let caught_up = seen.status.is_some_and(|s| s.caught_up && s.view == now_view.number);
+        if caught_up {
+            members.push(Member { since: number, ..joiner.clone() });
+        } else {
+            joining.push(joiner.clone());
+        }
+    }
+    while room > 0 && joining.len() < MOST_JOINING {
+        let fit = |s: &&Seen| {
+            s.alive
+                && !s.leaving
+                && !s.unwanted
+                && !members.iter().chain(&joining).any(|m| m.addr == s.member.addr)
+                && find(&s.member).is_some()
+        };
+        // Another zone first, then the order in which they were given.
+        let Some(best) = seen.iter().filter(fit).min_by_key(|s| zones.contains(&s.zone)) else { break };
+        room -= 1;
+        zones.push(best.zone);
+        joining.push(Member { since: number, ..best.member.clone() });
+    }
+    let next = View { number, members, joining };
+    let same = next.members == now_view.members
+        && next.joining.len() == now_view.joining.len()
+        && next.joining.iter().zip(&now_view.joining).all(|(a, b)| a.is(b));
+    (!same).then_some(next)
+}
--- /dev/null
+++ b/crates/chain/src/node.rs
@@ -0,0 +1,438 @@
+//! One member: its place in the view, its log, what its disk holds.
+
+use std::collections::VecDeque;
+use std::net::SocketAddr;
+
+use bytes::Bytes;
+
+use crate::log::Log;
+use crate::pass::Down;
+use crate::receive::Incoming;
+use crate::types::{Machine, Member, Ms, Out, Recovered, Status, View, Write};
+use crate::wire::{Body, Msg};
+
+/// A command's bytes at most: it has to fit a frame between peers (8 MiB) with room to spare.
+pub const MOST_COMMAND_BYTES: usize = 4 * 1024 * 1024;
+/// Bytes that may wait for their commit at the head: beyond it nothing more is taken, so memory stays bounded.
+pub const MOST_UNCOMMITTED_BYTES: u64 = 4 * 1024 * 1024;
+
+/// What has to happen once a ticket's record is on disk.
+#[derive(Debug)]
+enum Pending {
+    /// All entries up to this number are, if the state was not replaced since.
+    Entries { epoch: u64, number: u64 },
+    /// It was in sync in this view.
+    InSync { view: u64 },
+    /// Nothing: records after it wait for it by order.
+    View,
+}
+
+/// Where this process stands in its view.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Place {
+    /// Not in it.
+    Outside,
+    /// It gets copies.
+    Joining,
+    /// It is this far from the head.
+    Member(usize),
+}
+
+/// One member of a chain.
+#[derive(Debug)]
+pub struct Node<M> {
+    pub(crate) me: Member,
+    pub(crate) machine: M,
+    pub(crate) view: Option<View>,
+    pub(crate) place: Place,
+    /// The newest view whose `InSync` is on our disk, and the newest for which it is asked to be.
+    in_sync_view: u64,
+    in_sync_asked: u64,
+    pub(crate) log: Log,
+    /// All up to these is on our disk; in our table; on all disks.
+    pub(crate) synced: u64,
+    pub(crate) applied: u64,
+    pub(crate) committed: u64,
+    /// Our whole log belongs to the history of this view's head.
+    pub(crate) matched: bool,
+    /// Who holds all up to this is in sync in this view.
+    pub(crate) needed: u64,
+    /// The newest that the one before us holds, by its last word.
+    pub(crate) newest: u64,
+    pub(crate) up: Option<Member>,
+    /// When we last said what we have.
+    pub(crate) told_at: Option<Ms>,
+    /// What our disk held by our last word to the one before us.
+    pub(crate) acked: u64,
+    /// The one before us was told that we and all after us are in sync.
+    pub(crate) told_in_sync: bool,
+    pub(crate) incoming: Option<Incoming>,
+    pub(crate) downs: Vec<Down>,
+    /// The newest view that anybody spoke of.
+    newer_seen: u64,
+    ticket: u64,
+    pending: VecDeque<(u64, Pending)>,
+    /// Rises when the state is replaced.
+    epoch: u64,
+    pub(crate) out: Vec<Out>,
+}
+
+impl<M: Machine> Node<M> {
+    /// A node with what its disk holds; all of `recovered` must be synced. A snapshot that can't be read is as if
+    /// there were none: the owner checks the machine if it wants to tell that as corruption.
+    pub fn new(me: Member, machine: M, recovered: Recovered) -> Self {
+        let mut node = Node {
+            me,
+            machine,
+            view: None,
+            place: Place::Outside,
+            in_sync_view: recovered.in_sync_view,
+            in_sync_asked: recovered.in_sync_view,
+            log: Log::default(),
+            synced: 0,
+            applied: 0,
+            committed: 0,
+            matched: false,
+            needed: 0,
+            newest: 0,
+            up: None,
+            told_at: None,
+            acked: 0,
+            told_in_sync: false,
+            incoming: None,
+            downs: Vec::new(),
+            newer_seen: 0,
+            ticket: 0,
+            pending: VecDeque::new(),
+            epoch: 0,
+            out: Vec::new(),
+        };
+        let mut usable = true;
+        if let Some((view, number, body)) = recovered.snapshot {
+            usable = node.machine.restore(&body).is_ok();
+            if usable {
+                node.log = Log::after(number, view);
+            }
+        }
+        if !usable {
+            // Nothing of what was held can be vouched for.
+            node.in_sync_view = 0;
+            node.in_sync_asked = 0;
+        }
+        for (view, number, command) in recovered.entries {
+            if usable && number == node.log.last() + 1 {
+                node.machine.apply(number, &command);
+                node.log.push(view, command);
+                node.log.trim(number, false);
+            }
+        }
+        node.synced = node.log.last();
+        node.applied = node.log.last();
+        node.view = recovered.view;
+        node.begin(None);
+        node
+    }
+
+    /// Takes up a newer view; others are left alone.
+    pub fn enter(&mut self, now: Ms, view: View) {
+        if self.view.as_ref().is_some_and(|old| old.number >= view.number) {
+            return;
+        }
+        self.write(Write::View { view: view.clone() }, Pending::View);
+        self.view = Some(view);
+        self.begin(Some(now));
+    }
+
+    /// Finds its place in the view, new or as recovered, and greets its neighbours.
+    fn begin(&mut self, now: Option<Ms>) {
+        let Some(view) = self.view.as_ref() else { return };
+        let number = view.number;
+        let place = match view.place(&self.me) {
+            Some(place) => Place::Member(place),
+            None if view.joining.iter().any(|m| m.is(&self.me)) => Place::Joining,
+            None => Place::Outside,
+        };
+        let last = view.members.len().saturating_sub(1);
+        self.up = match place {
+            Place::Member(0) | Place::Outside => None,
+            Place::Member(place) => view.members.get(place - 1).cloned(),
+            Place::Joining => view.members.last().cloned(),
+        };
+        self.downs = match place {
+            Place::Member(place) if place == last => view.joining.iter().map(Down::joining).collect(),
+            Place::Member(place) => view.members.get(place + 1).map(Down::member).into_iter().collect(),
+            Place::Joining | Place::Outside => Vec::new(),
+        };
+        self.place = place;
+        self.incoming = None;
+        self.told_at = None;
+        self.acked = 0;
+        self.told_in_sync = false;
+        self.newest = 0;
+        // In sync in this very view before a restart: the log was matched then and has only grown since.
+        let head = place == Place::Member(0);
+        // And where all are members only since this view, nothing was before it: an empty log holds all of that.
+        let founding = self.log.last() == 0
+            && self.view.as_ref().is_some_and(|v| v.members.iter().all(|m| m.since == number));
+        let same_view = self.in_sync_view == number;
+        self.matched = head || ((same_view || founding) && place != Place::Outside);
+        // The head's whole log is what the view begins with; one that was in sync holds it; others are told.
+        self.needed = match (head, same_view) {
+            (true, _) => self.log.last(),
+            (false, true) => self.synced,
+            (false, false) => 0,
+        };
+        if head {
+            self.apply_up_to(self.log.last());
+        }
+        self.settle();
+        if let Some(now) = now {
+            self.tell_what_we_have(now);
+            self.ask_downs(now);
+        }
+    }
+
+    /// Takes a command if it is the head and there is room; its number, under which it is applied here already.
+    pub fn propose(&mut self, _now: Ms, command: Bytes) -> Option<u64> {
+        let view = self.view_number();
+        let waiting = self.log.end_at(self.log.last()).saturating_sub(self.log.end_at(self.committed));
+        if !self.is_head() || command.len() > MOST_COMMAND_BYTES || waiting > MOST_UNCOMMITTED_BYTES {
+            return None;
+        }
+        let number = self.log.last() + 1;
+        self.machine.apply(number, &command);
+        self.applied = number;
+        self.log.push(view, command.clone());
+        self.write_entry(view, number, command);
+        Some(number)
+    }
+
+    /// Takes a word of a peer.
+    pub fn message(&mut self, now: Ms, from: SocketAddr, msg: Msg) {
+        let number = self.view_number();
+        self.newer_seen = self.newer_seen.max(msg.view);
+        if msg.view != number || msg.to != self.me.id || self.place == Place::Outside {
+            return;
+        }
+        let up = self.up.as_ref().is_some_and(|m| m.id == msg.from && m.addr == from);
+        let down = self.downs.iter().position(|d| d.peer.id == msg.from && d.peer.addr == from);
+        match msg.body {
+            Body::Ask if up => self.tell_what_we_have(now),
+            Body::Entries { before, before_view, needed, newest, committed, items } if up => {
+                self.take_entries(now, (before, before_view), needed, newest, committed, items);
+            }
+            Body::Part { number, last_view, total, offset, bytes } if up => {
+                self.take_part(now, number, last_view, total, offset, &bytes);
+            }
+            Body::Have { number, last_view } => {
+                if let Some(at) = down {
+                    self.down_has(now, at, number, last_view);
+                }
+            }
+            Body::Ack { synced, committed, in_sync } => {
+                if let Some(at) = down {
+                    self.down_acked(now, at, synced, committed, in_sync);
+                }
+            }
+            Body::PartAck { number, offset } => {
+                if let Some(at) = down {
+                    self.down_took_part(now, at, number, offset);
+                }
+            }
+            _ => {}
+        }
+    }
+
+    /// All records up to this ticket are on disk.
+    pub fn synced(&mut self, now: Ms, ticket: u64) {
+        while self.pending.front().is_some_and(|(t, _)| *t <= ticket) {
+            match self.pending.pop_front() {
+                Some((_, Pending::Entries { epoch, number })) if epoch == self.epoch => {
+                    self.synced = self.synced.max(number);
+                }
+                Some((_, Pending::InSync { view })) => self.in_sync_view = self.in_sync_view.max(view),
+                _ => {}
+            }
+        }
+        self.apply_up_to(self.synced);
+        let committed = self.committed;
+        self.settle();
+        if self.active() {
+            self.pump_all(now);
+        }
+        self.ack_after_sync(committed);
+        let copying = self.downs.iter().any(|d| d.copy.is_some());
+        self.log.trim(self.applied.min(self.synced), copying);
+    }
+
+    /// What follows from what is held: the record of being in sync, and at the tail the commit.
+    pub(crate) fn settle(&mut self) {
+        let number = self.view_number();
+        let member = matches!(self.place, Place::Member(_));
+        if member && self.matched && self.synced >= self.needed && self.in_sync_asked < number {
+            self.in_sync_asked = number;
+            self.write(Write::InSync { view: number }, Pending::InSync { view: number });
+        }
+        if self.is_tail() && self.active() {
+            self.commit(self.synced);
+        }
+    }
+
+    /// Notes that all up to this is committed.
+    pub(crate) fn commit(&mut self, number: u64) -> bool {
+        let number = number.min(self.log.last());
+        if number <= self.committed {
+            return false;
+        }
+        self.committed = number;
+        self.out.push(Out::Committed { number });
+        true
+    }
+
+    pub(crate) fn apply_up_to(&mut self, number: u64) {
+        while self.applied < number {
+            let Some(entry) = self.log.get(self.applied + 1) else { break };
+            self.machine.apply(self.applied + 1, &entry.command);
+            self.applied += 1;
+        }
+    }
+
+    /// Puts another's state in place of ours; false if it can't be read.
+    pub(crate) fn restore(&mut self, number: u64, last_view: u64, body: Bytes) -> bool {
+        if self.machine.restore(&body).is_err() {
+            return false;
+        }
+        self.epoch += 1;
+        if !self.matched {
+            // What we held was of another history, so our disk holds nothing of this one yet.
+            self.synced = 0;
+        }
+        self.log = Log::after(number, last_view);
+        self.applied = number;
+        self.committed = self.committed.min(number);
+        self.matched = true;
+        // The sender was in sync, so its state has all that is needed.
+        self.needed = self.needed.max(number);
+        self.out.push(Out::Reset);
+        let epoch = self.epoch;
+        self.write(Write::Snapshot { view: last_view, number, body }, Pending::Entries { epoch, number });
+        true
+    }
+
+    pub(crate) fn write_entry(&mut self, view: u64, number: u64, command: Bytes) {
+        let epoch = self.epoch;
+        self.write(Write::Entry { view, number, command }, Pending::Entries { epoch, number });
+    }
+
+    fn write(&mut self, write: Write, pending: Pending) {
+        self.ticket += 1;
+        self.pending.push_back((self.ticket, pending));
+        self.out.push(Out::Write { ticket: self.ticket, write });
+    }
+
+    pub(crate) fn send(&mut self, to: &Member, body: Body) {
+        let msg = Msg { view: self.view_number(), from: self.me.id, to: to.id, body };
+        self.out.push(Out::Send { to: to.addr, msg });
+    }
+
+    /// Time passes: what was not answered is said again.
+    pub fn tick(&mut self, now: Ms) {
+        self.tick_up(now);
+        self.tick_downs(now);
+    }
+
+    /// What the owner is to do.
+    pub fn take(&mut self) -> Vec<Out> {
+        std::mem::take(&mut self.out)
+    }
+
+    /// The table. At the head it has all that was proposed, elsewhere all that the own disk holds; a tail's table is
+    /// committed (read it only while [`Node::active`]).
+    pub fn machine(&self) -> &M {
+        &self.machine
+    }
+
+    /// Whether it numbers commands: the first of its view, and nobody spoke of a newer one.
+    pub fn is_head(&self) -> bool {
+        self.place == Place::Member(0) && self.newer_seen <= self.view_number()
+    }
+
+    /// Whether it is the last of its view.
+    pub fn is_tail(&self) -> bool {
+        let last = self.view.as_ref().map_or(0, |v| v.members.len().saturating_sub(1));
+        self.place == Place::Member(last)
+    }
+
+    /// The newest view it has entered.
+    pub fn view(&self) -> Option<&View> {
+        self.view.as_ref()
+    }
+
+    /// Its number, 0 if there is none.
+    pub(crate) fn view_number(&self) -> u64 {
+        self.view.as_ref().map_or(0, |v| v.number)
+    }
+
+    /// The newest view that a peer spoke of: above its own, the owner should ask for it.
+    pub fn newest_heard(&self) -> u64 {
+        self.newer_seen
+    }
+
+    /// The newest entry held.
+    pub fn received(&self) -> u64 {
+        self.log.last()
+    }
+
+    /// All up to this is committed, as far as is known here.
+    pub fn committed(&self) -> u64 {
+        self.committed
+    }
+
+    /// All up to this is in the table.
+    pub fn applied(&self) -> u64 {
+        self.applied
+    }
+
+    /// What it says of itself.
+    pub fn status(&self) -> Status {
+        Status {
+            id: self.me.id,
+            view: self.view_number(),
+            in_sync_view: self.in_sync_view,
+            received: self.log.last(),
+            caught_up: self.caught_up(),
+        }
+    }
+
+    /// A member in sync in its view, by its disk: it passes on and acknowledges.
+    pub fn active(&self) -> bool {
+        let view = self.view_number();
+        matches!(self.place, Place::Member(_)) && view > 0 && self.in_sync_view == view
+    }
+
+    /// It and all after it are in sync in this view: at the head, that commits can happen.
+    pub fn ready(&self) -> bool {
+        self.active() && self.downs.iter().all(|d| d.joining || d.in_sync)
+    }
+
+    /// Records that hold all that this node has, for a file begun anew: view, in sync, state, entries after it.
+    pub fn whole(&self) -> Vec<Write> {
+        let mut records = Vec::new();
+        if let Some(view) = &self.view {
+            records.push(Write::View { view: view.clone() });
+        }
+        if let Some(view) = self.log.view_at(self.applied) {
+            let body = Bytes::from(self.machine.snapshot());
+            records.push(Write::Snapshot { view, number: self.applied, body });
+        }
+        for number in self.applied + 1..=self.log.last() {
+            if let Some(entry) = self.log.get(number) {
+                records.push(Write::Entry { view: entry.view, number, command: entry.command.clone() });
+            }
+        }
+        if self.in_sync_view > 0 {
+            records.push(Write::InSync { view: self.in_sync_view });
+        }
+        records
+    }
+}
--- /dev/null
+++ b/crates/chain/src/pass.rs
@@ -0,0 +1,276 @@
+//! What goes to the one after us, or at the tail to those who join: entries, or a snapshot in parts.
+
+use bytes::Bytes;
+
+use crate::node::Node;
+use crate::types::{Machine, Member, Ms, MOST_SNAPSHOT_BYTES};
+use crate::wire::{Body, Item};
+
+/// A frame's commands, in bytes; a single larger one goes alone.
+pub const BATCH_BYTES: usize = 64 * 1024;
+/// Bytes on their way to a neighbour that it has not acknowledged: some round trips of a machine's link.
+pub const WINDOW_BYTES: u64 = 512 * 1024;
+/// A snapshot's part.
+const PART_BYTES: usize = 64 * 1024;
+/// Parts of a snapshot on their way.
+const PARTS_ON_THE_WAY: usize = 8;
+/// Who does not answer is asked again so often.
+pub(crate) const ASK_MS: Ms = 200;
+/// What was not acknowledged for so long is sent again: many syncs and round trips, far below a view's change.
+const RESEND_MS: Ms = 300;
+
+/// A snapshot on its way.
+#[derive(Debug)]
+pub(crate) struct Copy {
+    number: u64,
+    last_view: u64,
+    body: Bytes,
+    /// Bytes that have come, and that were sent.
+    taken: usize,
+    sent: usize,
+}
+
+/// Who gets entries from us.
+#[derive(Debug)]
+pub(crate) struct Down {
+    pub peer: Member,
+    pub joining: bool,
+    /// The next entry to send; none until it has said what it has.
+    next: Option<u64>,
+    /// It has all up to this by its last word, and its disk has all up to that.
+    heard: u64,
+    acked: u64,
+    /// It and all after it are in sync in this view.
+    pub in_sync: bool,
+    pub copy: Option<Copy>,
+    /// When something last went to it or came from it.
+    at: Option<Ms>,
+}
+
+impl Down {
+    pub fn member(peer: &Member) -> Down {
+        Down {
+            peer: peer.clone(),
+            joining: false,
+            next: None,
+            heard: 0,
+            acked: 0,
+            in_sync: false,
+            copy: None,
+            at: None,
+        }
+    }
+
+    pub fn joining(peer: &Member) -> Down {
+        Down { joining: true, ..Down::member(peer) }
+    }
+}
+
+impl<M: Machine> Node<M> {
+    /// Asks those after us who have not said what they have.
+    pub(crate) fn ask_downs(&mut self, now: Ms) {
+        if !self.active() {
+            return;
+        }
+        for at in 0..self.downs.len() {
+            let Some(down) = self.downs.get_mut(at) else { continue };
+            if down.next.is_none() && down.copy.is_none() {
+                down.at = Some(now);
+                let peer = down.peer.clone();
+                self.send(&peer, Body::Ask);
+            }
+        }
+    }
+
+    /// One after us says where its log ends.
+    pub(crate) fn down_has(&mut self, now: Ms, at: usize, number: u64, last_view: u64) {
+        if !self.active() {
+            return;
+        }
+        let known = self.log.view_at(number) == Some(last_view);
+        let Some(down) = self.downs.get_mut(at) else { return };
+        if number < down.acked {
+            // An old word: its disk has more, and keeps it.
+            return;
+        }
+        down.at = Some(now);
+        if known {
+            down.copy = None;
+            down.next = Some(number + 1);
+            down.heard = number;
+            self.send_batch(now, at, true);
+            self.pump(now, at);
+            return;
+        }
+        // Its log ends before ours begins, or is of another history.
+        if let Some(copy) = down.copy.as_mut() {
+            // It may have been restarted; if not, its next word says how far it is.
+            copy.taken = 0;
+        } else {
+            let Some(last_view) = self.log.view_at(self.applied) else { return };
+            let body = Bytes::from(self.machine.snapshot());
+            if body.len() > MOST_SNAPSHOT_BYTES as usize {
+                return;
+            }
+            let copy = Copy { number: self.applied, last_view, body, taken: 0, sent: 0 };
+            if let Some(down) = self.downs.get_mut(at) {
+                down.next = None;
+                down.copy = Some(copy);
+            }
+        }
+        self.send_parts(now, at, true);
+    }
+
+    /// Sends the next parts of a snapshot; from what has come on if `again`.
+    fn send_parts(&mut self, now: Ms, at: usize, again: bool) {
+        let synced = self.synced;
+        let Some(down) = self.downs.get_mut(at) else { return };
+        let Some(copy) = down.copy.as_mut() else { return };
+        if copy.number > synced {
+            // The head's table is ahead of its disk: what is not on our disk is not passed on.
+            return;
+        }
+        if again {
+            copy.sent = copy.taken;
+        }
+        let mut parts = Vec::new();
+        while copy.sent < copy.taken + PARTS_ON_THE_WAY * PART_BYTES
+            && (copy.sent < copy.body.len() || copy.body.is_empty() && parts.is_empty())
+        {
+            let end = copy.body.len().min(copy.sent + PART_BYTES);
+            parts.push(Body::Part {
+                number: copy.number,
+                last_view: copy.last_view,
+                total: copy.body.len() as u32,
+                offset: copy.sent as u32,
+                bytes: copy.body.slice(copy.sent..end),
+            });
+            copy.sent = end;
+        }
+        down.at = Some(now);
+        let peer = down.peer.clone();
+        for part in parts {
+            self.send(&peer, part);
+        }
+    }
+
+    pub(crate) fn down_took_part(&mut self, now: Ms, at: usize, number: u64, offset: u32) {
+        let Some(down) = self.downs.get_mut(at) else { return };
+        let Some(copy) = down.copy.as_mut() else { return };
+        let offset = offset as usize;
+        if copy.number == number && offset <= copy.body.len() && offset > copy.taken {
+            copy.taken = offset;
+            copy.sent = copy.sent.max(offset);
+            self.send_parts(now, at, false);
+        }
+    }
+
+    pub(crate) fn down_acked(&mut self, now: Ms, at: usize, synced: u64, committed: u64, in_sync: bool) {
+        if !self.active() {
+            return;
+        }
+        let own = self.synced;
+        let Some(down) = self.downs.get_mut(at) else { return };
+        down.acked = down.acked.max(synced.min(own));
+        down.heard = down.heard.max(down.acked);
+        down.next = down.next.map(|next| next.max(down.heard + 1));
+        down.at = Some(now);
+        let member = !down.joining;
+        let now_in_sync = in_sync && !down.in_sync;
+        down.in_sync |= in_sync;
+        let newly = member && self.commit(committed.min(own));
+        if newly || member && now_in_sync {
+            self.ack_up();
+        }
+        self.pump(now, at);
+    }
+
+    pub(crate) fn pump_all(&mut self, now: Ms) {
+        self.ask_downs(now);
+        for at in 0..self.downs.len() {
+            if self.downs.get(at).is_some_and(|d| d.copy.as_ref().is_some_and(|c| c.sent == 0)) {
+                self.send_parts(now, at, false);
+            }
+            self.pump(now, at);
+        }
+    }
+
+    /// Sends what our disk holds, as far as the window goes.
+    fn pump(&mut self, now: Ms, at: usize) {
+        if !self.active() {
+            return;
+        }
+        while self.send_batch(now, at, false) {}
+    }
+
+    /// Sends one frame; false if there is nothing to send or no room. `always`: also an empty one.
+    fn send_batch(&mut self, now: Ms, at: usize, always: bool) -> bool {
+        let Some(down) = self.downs.get_mut(at) else { return false };
+        let Some(next) = down.next else { return false };
+        let before = next - 1;
+        let on_the_way = self.log.end_at(before).saturating_sub(self.log.end_at(down.heard));
+        if !always && (next > self.synced || on_the_way >= WINDOW_BYTES) {
+            return false;
+        }
+        let Some(before_view) = self.log.view_at(before) else {
+            // It lags behind what we keep: it must say anew what it has, and gets a snapshot.
+            down.next = None;
+            return false;
+        };
+        let mut items = Vec::new();
+        let mut bytes = 0;
+        let mut number = next;
+        while number <= self.synced && bytes < BATCH_BYTES {
+            let Some(entry) = self.log.get(number) else { break };
+            if bytes > 0 && bytes + entry.command.len() > BATCH_BYTES {
+                break;
+            }
+            bytes += entry.command.len() + 16;
+            items.push(Item { view: entry.view, command: entry.command.clone() });
+            number += 1;
+        }
+        down.next = Some(number);
+        down.at = Some(now);
+        let more = !items.is_empty();
+        let peer = down.peer.clone();
+        let body = Body::Entries {
+            before,
+            before_view,
+            needed: self.needed,
+            newest: self.synced,
+            committed: self.committed,
+            items,
+        };
+        self.send(&peer, body);
+        more
+    }
+
+    /// Says again what was not answered.
+    pub(crate) fn tick_downs(&mut self, now: Ms) {
+        if !self.active() {
+            return;
+        }
+        for at in 0..self.downs.len() {
+            let (synced, committed) = (self.synced, self.committed);
+            let Some(down) = self.downs.get_mut(at) else { continue };
+            let idle = down.at.map_or(Ms::MAX, |at| now.saturating_sub(at));
+            if down.copy.is_some() {
+                if idle >= RESEND_MS {
+                    self.send_parts(now, at, true);
+                }
+            } else if down.next.is_none() {
+                if idle >= ASK_MS {
+                    down.at = Some(now);
+                    let peer = down.peer.clone();
+                    self.send(&peer, Body::Ask);
+                }
+            } else {
+                let waits = down.acked < synced || !down.joining && (!down.in_sync || committed < synced);
+                if waits && idle >= RESEND_MS {
+                    down.next = Some(down.heard + 1);
+                    self.send_batch(now, at, true);
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/chain/src/receive.rs
@@ -0,0 +1,155 @@
+//! What comes from the one before us: entries, or a snapshot in parts.
+
+use bytes::{Bytes, BytesMut};
+
+use crate::node::{Node, Place};
+use crate::pass::{ASK_MS, WINDOW_BYTES};
+use crate::types::{Machine, Ms, MOST_SNAPSHOT_BYTES};
+use crate::wire::{Body, Item};
+
+/// A gap is asked about so often at most: the frames behind a lost one all show the same gap.
+const GAP_MS: Ms = 50;
+/// A snapshot of which no part came for so long is given up, and what we have is told again.
+const STALLED_COPY_MS: Ms = 1_500;
+/// A joiner so near to the newest is caught up: a view change hands it the rest within a few frames.
+const CAUGHT_UP_WITHIN: u64 = 256;
+
+/// A snapshot of which parts have come.
+#[derive(Debug)]
+pub(crate) struct Incoming {
+    number: u64,
+    last_view: u64,
+    total: u32,
+    body: BytesMut,
+    at: Ms,
+}
+
+impl<M: Machine> Node<M> {
+    /// Says to the one before us where our log ends.
+    pub(crate) fn tell_what_we_have(&mut self, now: Ms) {
+        let Some(up) = self.up.clone() else { return };
+        self.told_at = Some(now);
+        self.send(&up, Body::Have { number: self.log.last(), last_view: self.log.last_view() });
+    }
+
+    fn tell_of_gap(&mut self, now: Ms) {
+        if self.told_at.is_none_or(|at| now.saturating_sub(at) >= GAP_MS) {
+            self.tell_what_we_have(now);
+        }
+    }
+
+    pub(crate) fn take_entries(
+        &mut self, now: Ms, (before, before_view): (u64, u64), needed: u64, newest: u64, committed: u64,
+        items: Vec<Item>,
+    ) {
+        let last = self.log.last();
+        let end = before.saturating_add(items.len() as u64);
+        // What we hold too must be the same, and until we are matched, the frame must reach to our end: what lies
+        // beyond it may be of another history.
+        let follows = before <= last
+            && (self.matched || end >= last && before >= self.log.base())
+            && self.log.view_at(before).is_none_or(|view| view == before_view)
+            && items.iter().zip(before + 1..=last).all(|(item, number)| {
+                self.log.view_at(number).is_none_or(|view| view == item.view)
+            });
+        if !follows {
+            self.tell_of_gap(now);
+            return;
+        }
+        self.matched = true;
+        self.incoming = None;
+        self.needed = self.needed.max(needed);
+        self.newest = self.newest.max(newest);
+        let known = usize::try_from(last - before).unwrap_or(usize::MAX);
+        let mut fresh = 0u32;
+        for item in items.into_iter().skip(known) {
+            let number = self.log.last() + 1;
+            self.log.push(item.view, item.command.clone());
+            self.write_entry(item.view, number, item.command);
+            fresh += 1;
+        }
+        self.commit(committed.min(self.synced));
+        self.settle();
+        if fresh == 0 {
+            // Asked again, or only probed: the last word may have been lost.
+            self.ack_up();
+        }
+    }
+
+    /// Says to the one before us what our disk holds.
+    pub(crate) fn ack_up(&mut self) {
+        let Some(up) = self.up.clone() else { return };
+        if !self.matched {
+            return;
+        }
+        self.acked = self.synced;
+        let in_sync = self.ready();
+        self.told_in_sync |= in_sync;
+        self.send(&up, Body::Ack { synced: self.synced, committed: self.committed, in_sync });
+    }
+
+    /// After a sync: the tail's and a joiner's word goes at once; one in the middle passes on the tail's, and speaks
+    /// for itself only when the one before it would run out of room.
+    pub(crate) fn ack_after_sync(&mut self, committed_before: u64) {
+        let held = self.log.end_at(self.synced).saturating_sub(self.log.end_at(self.acked));
+        let last = self.is_tail() || self.place == Place::Joining;
+        let due = self.synced > self.acked && (last || held >= WINDOW_BYTES / 4);
+        if due || self.committed > committed_before || self.ready() && !self.told_in_sync {
+            self.ack_up();
+        }
+    }
+
+    pub(crate) fn take_part(
+        &mut self, now: Ms, number: u64, last_view: u64, total: u32, offset: u32, bytes: &Bytes,
+    ) {
+        if self.matched && number <= self.log.last() {
+            // It was taken already, or is not wanted any more.
+            self.tell_of_gap(now);
+            return;
+        }
+        let same = self
+            .incoming
+            .as_ref()
+            .is_some_and(|i| (i.number, i.last_view, i.total) == (number, last_view, total));
+        if !same {
+            if self.incoming.as_ref().is_some_and(|i| i.number > number) || total > MOST_SNAPSHOT_BYTES {
+                return;
+            }
+            self.incoming = Some(Incoming { number, last_view, total, body: BytesMut::new(), at: now });
+        }
+        let Some(incoming) = self.incoming.as_mut() else { return };
+        let have = incoming.body.len() as u64;
+        if u64::from(offset) == have && have + bytes.len() as u64 <= u64::from(total) {
+            incoming.body.extend_from_slice(bytes);
+            incoming.at = now;
+        }
+        let have = incoming.body.len();
+        if have < total as usize {
+            let Some(up) = self.up.clone() else { return };
+            self.send(&up, Body::PartAck { number, offset: have as u32 });
+            return;
+        }
+        let Some(incoming) = self.incoming.take() else { return };
+        self.restore(number, last_view, incoming.body.freeze());
+        self.tell_what_we_have(now);
+    }
+
+    /// Says again what we have while the one before us has not gone on from there.
+    pub(crate) fn tick_up(&mut self, now: Ms) {
+        if self.incoming.as_ref().is_some_and(|i| now.saturating_sub(i.at) >= STALLED_COPY_MS) {
+            self.incoming = None;
+        }
+        let due = self.told_at.is_none_or(|at| now.saturating_sub(at) >= ASK_MS);
+        if self.told_at.is_none() || (!self.matched && self.incoming.is_none() && due) {
+            self.tell_what_we_have(now);
+        }
+    }
+
+    /// A joiner that holds all but the newest.
+    pub(crate) fn caught_up(&self) -> bool {
+        self.place == Place::Joining
+            && self.matched
+            && self.synced >= self.needed
+            && self.newest.saturating_sub(self.synced) <= CAUGHT_UP_WITHIN
+    }
+}
--- /dev/null
+++ b/crates/chain/src/wire.rs
@@ -0,0 +1,217 @@
+//! What members say to each other, and how it is written. Reading never panics and never allocates more than came.
+
+use std::io::{Cursor, Read};
+use std::net::{IpAddr, Ipv4Addr, Ipv6Addr, SocketAddr};
+
+use binrw::meta::{ReadEndian, WriteEndian};
+use binrw::{binrw, BinRead, BinResult, BinWrite, Error};
+use bytes::Bytes;
+
+use crate::types::MOST_SNAPSHOT_BYTES;
+
+/// Entries of a frame at most; a frame is cut by bytes long before, this bounds what a faulty peer may say.
+const MOST_ITEMS: u32 = 65_536;
+
+/// Bytes that can't be read.
+#[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
+pub enum BadBytes {
+    /// A field is wrong or the bytes end too soon.
+    #[error("1202: not readable: {0}")]
+    Unreadable(String),
+    /// More bytes than the layout has.
+    #[error("1203: {0} bytes too many")]
+    Long(usize),
+}
+
+/// Any value of ours as bytes.
+pub fn to_bytes<T>(value: &T) -> Bytes
+where
+    T: for<'a> BinWrite<Args<'a> = ()> + WriteEndian,
+{
+    let mut out = Cursor::new(Vec::with_capacity(128));
+    // Writing to memory fails only where a count does not fit its field, and counts are bounded: see the constants.
+    match value.write(&mut out) {
+        Ok(()) => Bytes::from(out.into_inner()),
+        Err(_) => Bytes::new(),
+    }
+}
+
+/// Any value of ours from bytes, all of which must belong to it.
+pub fn from_bytes<T>(bytes: &[u8]) -> Result<T, BadBytes>
+where
+    T: for<'a> BinRead<Args<'a> = ()> + ReadEndian,
+{
+    let mut input = Cursor::new(bytes);
+    let value = T::read(&mut input).map_err(|error| BadBytes::Unreadable(error.to_string()))?;
+    let rest = bytes.len().saturating_sub(usize::try_from(input.position()).unwrap_or(usize::MAX));
+    if rest > 0 {
+        return Err(BadBytes::Long(rest));
+    }
+    Ok(value)
+}
+
+/// Reads an address: a family, its bytes, the port.
+#[binrw::parser(reader, endian)]
+pub fn read_addr() -> BinResult<SocketAddr> {
+    let pos = reader.stream_position()?;
+    let ip = match u8::read_options(reader, endian, ())? {
+        4 => IpAddr::from(Ipv4Addr::from(<[u8; 4]>::read_options(reader, endian, ())?)),
+        6 => IpAddr::from(Ipv6Addr::from(<[u8; 16]>::read_options(reader, endian, ())?)),
+        family => {
+            return Err(Error::AssertFail { pos, message: format!("family {family} is neither 4 nor 6") })
+        }
+    };
+    Ok(SocketAddr::new(ip, u16::read_options(reader, endian, ())?))
+}
+
+/// Writes an address as [`read_addr`] reads it.
+#[binrw::writer(writer, endian)]
+pub fn write_addr(addr: &SocketAddr) -> BinResult<()> {
+    match addr.ip() {
+        IpAddr::V4(ip) => (4u8, ip.octets()).write_options(writer, endian, ())?,
+        IpAddr::V6(ip) => (6u8, ip.octets()).write_options(writer, endian, ())?,
+    }
+    addr.port().write_options(writer, endian, ())
+}
+
+/// Reads a length and so many bytes, `most` at most.
+#[binrw::parser(reader, endian)]
+pub fn read_bytes(most: u32) -> BinResult<Bytes> {
+    let pos = reader.stream_position()?;
+    let len = u32::read_options(reader, endian, ())?;
+    if len > most {
+        return Err(Error::AssertFail { pos, message: format!("{len} bytes are more than {most}") });
+    }
+    let mut bytes = Vec::new();
+    let got = reader.take(u64::from(len)).read_to_end(&mut bytes)?;
+    if got as u64 != u64::from(len) {
+        return Err(Error::AssertFail { pos, message: format!("{got} bytes came of {len}") });
+    }
+    Ok(Bytes::from(bytes))
+}
+
+/// Writes bytes as [`read_bytes`] reads them.
+#[binrw::writer(writer, endian)]
+pub fn write_bytes(bytes: &Bytes) -> BinResult<()> {
+    let pos = writer.stream_position()?;
+    let len = u32::try_from(bytes.len())
+        .map_err(|_| Error::AssertFail { pos, message: "more than 4 GiB".to_owned() })?;
+    len.write_options(writer, endian, ())?;
+    writer.write_all(bytes)?;
+    Ok(())
+}
+
+/// An entry within a frame; its number follows from its place.
+#[binrw]
+#[brw(big)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Item {
+    /// The view in which it was numbered.
+    pub view: u64,
+    /// The command.
+    #[br(parse_with = read_bytes, args(MOST_SNAPSHOT_BYTES))]
+    #[bw(write_with = write_bytes)]
+    pub command: Bytes,
+}
+
+/// What one member of a view says to its neighbour.
+#[binrw]
+#[brw(big)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Msg {
+    /// The sender's view.
+    pub view: u64,
+    /// The sender's id.
+    pub from: u64,
+    /// The id for which it is meant: another may have come to that address.
+    pub to: u64,
+    /// What is said.
+    pub body: Body,
+}
+
+/// The words of [`Msg`].
+#[binrw]
+#[brw(big)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Body {
+    /// To the one before: my log ends here, go on from there.
+    #[brw(magic = 1u8)]
+    Have {
+        /// The number of my last entry.
+        number: u64,
+        /// The view in which that was numbered.
+        last_view: u64,
+    },
+    /// To the one after: tell me what you have.
+    #[brw(magic = 2u8)]
+    Ask,
+    /// To the one after: entries, perhaps none.
+    #[brw(magic = 3u8)]
+    Entries {
+        /// The number of the entry before the first.
+        before: u64,
+        /// The view in which that was numbered.
+        before_view: u64,
+        /// Who holds all up to this is in sync in this view.
+        needed: u64,
+        /// The newest that the sender's disk holds.
+        newest: u64,
+        /// All up to this is committed.
+        committed: u64,
+        #[br(temp, assert(count <= MOST_ITEMS))]
+        #[bw(calc = items.len() as u32)]
+        count: u32,
+        /// The entries, in order.
+        #[br(count = count)]
+        items: Vec<Item>,
+    },
+    /// To the one before: what my disk holds, and what is committed.
+    #[brw(magic = 4u8)]
+    Ack {
+        /// All up to this is on my disk.
+        synced: u64,
+        /// All up to this is on all disks.
+        committed: u64,
+        /// I and all after me are in sync in this view.
+        #[br(map = |x: u8| x != 0)]
+        #[bw(map = |x: &bool| u8::from(*x))]
+        in_sync: bool,
+    },
+    /// To the one after: a part of a snapshot.
+    #[brw(magic = 5u8)]
+    Part {
+        /// The number of the last entry in it.
+        number: u64,
+        /// The view in which that was numbered.
+        last_view: u64,
+        /// The whole snapshot's bytes.
+        #[br(assert(total <= MOST_SNAPSHOT_BYTES))]
+        total: u32,
+        /// Where this part begins.
+        offset: u32,
+        /// The part.
+        #[br(parse_with = read_bytes, args(MOST_SNAPSHOT_BYTES))]
+        #[bw(write_with = write_bytes)]
+        bytes: Bytes,
+    },
+    /// To the one before: so much of that snapshot has come.
+    #[brw(magic = 6u8)]
+    PartAck {
+        /// The snapshot's number.
+        number: u64,
+        /// All before this offset has come.
+        offset: u32,
+    },
+}
+
+impl Msg {
+    /// As bytes for a frame.
+    pub fn encode(&self) -> Bytes {
+        to_bytes(self)
+    }
+
+    /// From a frame's bytes.
+    pub fn decode(bytes: &[u8]) -> Result<Msg, BadBytes> {
+        from_bytes(bytes)
+    }
+}
--- a/crates/decide/src/backoff.rs
+++ b/crates/decide/src/backoff.rs
@@ -2,40 +2,46 @@
 
 use super::*;
 
-/// The paper's AutoSleeper.
+/// The paper's AutoSleeper; its intervals are in the unit of the caller's clock.
 #[derive(Debug, Clone, Default)]
-pub(crate) struct Backoff {
-    pub(crate) interval: f64,
+pub struct Sleeper {
+    /// The current interval; zero while pushes are not spaced.
+    pub interval: f64,
     pub(crate) successes: u32,
-    pub(crate) open_at: Micros,
+    /// When the next push may go.
+    pub open_at: Micros,
 }
 
-impl Backoff {
-    fn jittered(value: f64, unit_span: f64, rng: &mut Pcg64Mcg) -> f64 {
-        let delta = (RANDOMIZATION * value).min(MAX_RANDOMIZATION * unit_span);
+impl Sleeper {
+    fn jittered(value: f64, terms: &SleeperTerms, rng: &mut Pcg64Mcg) -> f64 {
+        let delta = (terms.randomization * value).min(terms.max_randomization);
         value - delta + 2.0 * delta * unit(rng)
     }
 
-    pub(crate) fn failure(&mut self, now: Micros, unit_span: f64, rng: &mut Pcg64Mcg) {
-        let higher = Self::jittered(self.interval * UP, unit_span, rng).min(MAX * unit_span);
-        self.interval = if self.interval == 0.0 { INITIAL * unit_span } else { higher };
+    /// Goes up: a push was refused, didn't reach the worker or came back unstarted.
+    pub fn failure(&mut self, now: Micros, terms: &SleeperTerms, rng: &mut Pcg64Mcg) {
+        let higher = Self::jittered(self.interval * terms.up, terms, rng).min(terms.max);
+        self.interval = if self.interval == 0.0 { terms.initial } else { higher };
         self.pushed(now);
     }
 
-    pub(crate) fn success(&mut self, unit_span: f64, rng: &mut Pcg64Mcg) {
+    /// Counts a success, and goes down after enough of them.
+    pub fn success(&mut self, terms: &SleeperTerms, rng: &mut Pcg64Mcg) {
         self.successes += u32::from(self.interval > 0.0);
-        if self.successes >= SUCCESSES_DOWN {
+        if self.successes >= terms.successes_down {
             self.successes = 0;
-            let lower = Self::jittered(self.interval * DOWN, unit_span, rng);
-            self.interval = if lower < INITIAL * unit_span { 0.0 } else { lower };
+            let lower = Self::jittered(self.interval * terms.down, terms, rng);
+            self.interval = if lower < terms.initial { 0.0 } else { lower };
         }
     }
 
-    pub(crate) fn pushed(&mut self, now: Micros) {
+    /// The interval starts anew.
+    pub fn pushed(&mut self, now: Micros) {
         self.open_at = now + span(self.interval);
     }
 
-    pub(crate) fn open(&self, now: Micros) -> bool {
+    /// Whether a push may go.
+    pub fn open(&self, now: Micros) -> bool {
         self.interval == 0.0 || now >= self.open_at
     }
 }
--- a/crates/decide/src/kept.rs
+++ b/crates/decide/src/kept.rs
@@ -10,6 +10,38 @@
     (rng.next_u64() >> 11) as f64 / (1u64 << 53) as f64
 }
 
+/// What a [`Sleeper`] goes by; spans are in the unit of the caller's clock.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct SleeperTerms {
+    /// The interval after a first failure, and the least one that is not zero.
+    pub initial: f64,
+    /// The longest interval.
+    pub max: f64,
+    /// What a failure multiplies the interval by.
+    pub up: f64,
+    /// ... and a run of successes.
+    pub down: f64,
+    /// How many successes make such a run.
+    pub successes_down: u32,
+    /// Share of an interval by which a draw may differ from it.
+    pub randomization: f64,
+    /// ... and the most by which it may.
+    pub max_randomization: f64,
+}
+
+/// The constants of this crate, where jobs run for so long on average.
+pub(crate) fn paced(mean_run: f64) -> SleeperTerms {
+    SleeperTerms {
+        initial: INITIAL * mean_run,
+        max: MAX * mean_run,
+        up: UP,
+        down: DOWN,
+        successes_down: SUCCESSES_DOWN,
+        randomization: RANDOMIZATION,
+        max_randomization: MAX_RANDOMIZATION * mean_run,
+    }
+}
+
 #[derive(Debug, Clone)]
 pub(crate) struct Outstanding {
     pub(crate) job: JobId,
@@ -24,7 +56,7 @@
 #[derive(Debug, Default)]
 pub(crate) struct Worker {
     pub(crate) listing: Listing,
-    pub(crate) backoff: Backoff,
+    pub(crate) backoff: Sleeper,
     pub(crate) outstanding: Vec<Outstanding>,
     pub(crate) others: f64, // slots that others seem to hold
     pub(crate) reported: Option<Micros>,
--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -1,5 +1,5 @@
 //! Every decision of a dispatcher, by subject. The interface is the crate `api`.
-//! One `Backoff` a worker spaces the pushes to it. A job goes to a random open worker, weighted by room; with
+//! One `Sleeper` a worker spaces the pushes to it. A job goes to a random open worker, weighted by room; with
 //! none open it is held. Only `push` sends and only `finish` answers: the rules are kept there.
 
 mod backoff;
@@ -18,7 +18,6 @@
 
 use api::told::kin;
 use api::*;
-use backoff::Backoff;
 use constants::*;
 use kept::*;
 use rand_pcg::rand_core::{RngCore, SeedableRng};
@@ -28,6 +27,7 @@
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet, BinaryHeap, VecDeque};
 use std::sync::Arc;
+pub use {backoff::Sleeper, kept::SleeperTerms};
 
 /// Decides for one dispatcher.
 #[derive(Debug)]
--- a/crates/decide/src/outcomes.rs
+++ b/crates/decide/src/outcomes.rs
@@ -11,7 +11,7 @@
         w.outstanding[at].started = Some(self.now);
         self.fleet.reach.reached(w.listing.zone);
         if w.errors < ERRORS && self.settings.start_notices {
-            w.backoff.success(mean_run, &mut self.rng);
+            w.backoff.success(&paced(mean_run), &mut self.rng);
         }
     }
 
@@ -37,6 +37,7 @@
     pub(crate) fn settle_worker(&mut self, (id, attempt, worker): Leg, outcome: Outcome) -> Option<f64> {
         let (mean_run, patience, told) = (self.mean_run(), self.patience(), self.told_loads());
         let rare = (f64::from(self.settings.dispatchers) / RARE).max(1.0);
+        let (usual, rare) = (paced(mean_run), paced(mean_run * rare));
         let w = self.workers.get_mut(&worker)?;
         // A start notice may overtake an outcome: only runs under way for a while show slots.
         let starts = || w.outstanding.iter().filter_map(|o| Some((o.started?, o.slots)));
@@ -55,11 +56,11 @@
         let unreached = outcome == Outcome::ConnectFailed || waited;
         self.fleet.reach.failed(w.listing.zone, unreached && told);
         match outcome {
-            Outcome::Full => w.backoff.failure(self.now, mean_run, &mut self.rng),
-            _ if unreached => w.backoff.failure(self.now, mean_run * rare, &mut self.rng),
+            Outcome::Full => w.backoff.failure(self.now, &usual, &mut self.rng),
+            _ if unreached => w.backoff.failure(self.now, &rare, &mut self.rng),
             // A worker that fails jobs at once always has room and would draw all traffic.
-            Outcome::Error if w.errors >= ERRORS => w.backoff.failure(self.now, mean_run, &mut self.rng),
-            Outcome::Done if !self.settings.start_notices => w.backoff.success(mean_run, &mut self.rng),
+            Outcome::Error if w.errors >= ERRORS => w.backoff.failure(self.now, &usual, &mut self.rng),
+            Outcome::Done if !self.settings.start_notices => w.backoff.success(&usual, &mut self.rng),
             _ => {}
         }
         // Where no start is told a run counts from its sending: room was seen there.
@@ -96,7 +97,7 @@
         let turns = mean_run * INITIAL * f64::from(self.settings.dispatchers - 1);
         let may_grow = |w: &Worker| !elsewhere.is_empty() || w.backoff.interval < turns;
         if let Some(w) = self.workers.get_mut(&worker).filter(|w| w.backoff.open(self.now) && may_grow(w)) {
-            w.backoff.failure(self.now, mean_run, &mut self.rng);
+            w.backoff.failure(self.now, &paced(mean_run), &mut self.rng);
         }
     }
 }
--- a/crates/decide/src/probing.rs
+++ b/crates/decide/src/probing.rs
@@ -43,9 +43,9 @@
         w.heed_probe(outcome, self.now);
         match outcome {
             // A rare pusher would not see a worker's recovery by its pushes.
-            Outcome::Done if free => w.backoff.success(mean_run, &mut self.rng),
+            Outcome::Done if free => w.backoff.success(&paced(mean_run), &mut self.rng),
             Outcome::Done | Outcome::Reset => {} // broken off, it says as little of the worker as a job would
-            _ => w.backoff.failure(self.now, mean_run, &mut self.rng),
+            _ => w.backoff.failure(self.now, &paced(mean_run), &mut self.rng),
         }
     }
 
--- /dev/null
+++ b/crates/disk-ring/src/recover.rs
@@ -0,0 +1,292 @@
+//! Reads back what is on disk, cuts off a torn tail, and tells corruption from it.
+//!
+//! A file of the log is begun only after all before it was synced, so only the newest one can have a torn end. Within
+//! it every record says how far the log was on disk when it was written: if a record after a bad place says that the
+//! bad place was on disk, it is corrupt, and else it is torn.
+
+use crate::disk::{Disk, DiskFile};
+use crate::error::DiskError;
+use crate::format::{read_start, FileStart, Header, Owner, Stored, ALIGNED, HEADER};
+use crate::place::Placer;
+use crate::ring::{Options, Record};
+use crate::writer::{Log, Slot};
+use std::collections::VecDeque;
+
+/// Files with higher numbers aren't of a ring: their table would be long.
+const MOST_FILES: usize = 4096;
+
+/// What was found.
+pub(crate) struct Recovered<D: Disk> {
+    pub log: Log<D>,
+    pub placer: Placer,
+    pub records: Vec<(u64, Record)>,
+    pub identity: u64,
+    pub fresh: bool,
+    pub torn: bool,
+}
+
+/// The files of a folder, by what they begin with.
+struct Found {
+    /// In the order of the log.
+    headers: Vec<(Header, u32)>,
+    bad: Vec<u32>,
+    slots: Vec<Slot>,
+}
+
+/// What one file of the log holds.
+struct Content {
+    records: Vec<(u64, Record)>,
+    next_serial: u64,
+    life: u32,
+    /// The newest release that is noted in it.
+    low: u64,
+    offset: usize,
+    closed: bool,
+    torn: bool,
+}
+
+/// Reads the disk. Nothing is written but the length of a file that a crash left too short.
+pub(crate) fn recover<D: Disk>(
+    mut disk: D,
+    options: Options,
+    new_identity: u64,
+) -> Result<Recovered<D>, DiskError> {
+    let found = look(&mut disk)?;
+    let Some((last, last_slot)) = found.headers.last().copied() else {
+        // A first file that was being begun when the machine stopped: its identity was never told to anyone.
+        for slot in &found.bad {
+            refuse_if_synced(&mut disk, *slot, 1, 0)?;
+        }
+        return Ok(fresh(disk, options, found.slots, new_identity));
+    };
+    let file_bytes = last.file_bytes();
+    // The newest file says how much is released; all that was released later is noted in it.
+    let newest = content(&mut disk, (last, last_slot), true)?;
+    let low = newest.low;
+    let first = found.headers.iter().rposition(|(header, _)| header.first_serial <= low.max(1));
+    let live = first.and_then(|first| found.headers.get(first..)).unwrap_or_default();
+    if live.is_empty() {
+        return Err(corrupt(
+            &disk,
+            found.oldest(),
+            0,
+            "the file before it is missing, and holds what isn't released",
+        ));
+    }
+    let mut records = Vec::new();
+    let mut files = VecDeque::new();
+    let mut expected: Option<(Header, u64, u32)> = None;
+    for (header, slot) in live {
+        let at_start = |what| Err(corrupt(&disk, *slot, 0, what));
+        if let Some((before, next_serial, life)) = expected {
+            if header.seq != before.seq + 1 {
+                return at_start("the file before it is missing");
+            }
+            if header.first_serial != next_serial || header.life < life {
+                return at_start("it doesn't go on where the file before it ends");
+            }
+        }
+        files.push_back((header.seq, header.first_serial));
+        if *slot != last_slot {
+            let content = content(&mut disk, (*header, *slot), false)?;
+            expected = Some((*header, content.next_serial, content.life));
+            records.extend(content.records);
+        }
+    }
+    records.extend(newest.records);
+    records.retain(|(serial, _)| *serial >= low);
+    for slot in &found.bad {
+        refuse_if_synced(&mut disk, *slot, newest.next_serial, newest.life)?;
+    }
+    let io = |disk: &D, error| DiskError::Io { file: disk.name(last_slot), error };
+    let mut current = disk.open(last_slot).map_err(|error| io(&disk, error))?;
+    current.set_len(file_bytes).map_err(|error| io(&disk, error))?;
+    // A process that was killed may have left writes that aren't on disk yet; what is written now says that they are.
+    current.sync().map_err(|error| io(&disk, error))?;
+    let made = found.slots.iter().filter(|slot| **slot != Slot::Missing).count();
+    let room = options.file_bytes.saturating_mul(options.files_most as u64) / file_bytes.max(1);
+    let files_most = usize::try_from(room).unwrap_or(usize::MAX).max(made).max(2);
+    let placer = Placer {
+        file_bytes,
+        files_most,
+        files,
+        offset: newest.offset as u64,
+        next_serial: newest.next_serial,
+        low,
+        closed: newest.closed,
+    };
+    let log = Log {
+        disk,
+        slots: found.slots,
+        current: Some(current),
+        synced: newest.next_serial - 1,
+        life: newest.life.saturating_add(1),
+        identity: last.identity,
+        file_bytes,
+        files_most,
+    };
+    let torn = newest.torn || !found.bad.is_empty();
+    Ok(Recovered { log, placer, records, identity: last.identity, fresh: false, torn })
+}
+
+fn fresh<D: Disk>(disk: D, options: Options, slots: Vec<Slot>, identity: u64) -> Recovered<D> {
+    let file_bytes = options.file_bytes / ALIGNED as u64 * ALIGNED as u64;
+    let files_most = options.files_most;
+    let files = VecDeque::new();
+    let placer = Placer { file_bytes, files_most, files, offset: 0, next_serial: 1, low: 0, closed: false };
+    let log = Log { disk, slots, current: None, synced: 0, life: 1, identity, file_bytes, files_most };
+    Recovered { log, placer, records: Vec::new(), identity, fresh: true, torn: false }
+}
+
+impl Found {
+    fn oldest(&self) -> u32 {
+        self.headers.first().map_or(0, |(_, slot)| *slot)
+    }
+}
+
+/// Reads the beginnings of all files.
+fn look<D: Disk>(disk: &mut D) -> Result<Found, DiskError> {
+    let files = disk.files().map_err(|error| DiskError::Io { file: disk.name(0), error })?;
+    let mut found = Found { headers: Vec::new(), bad: Vec::new(), slots: Vec::new() };
+    let mut bytes = Vec::new();
+    for (slot, _) in files {
+        let at = usize::try_from(slot).unwrap_or(usize::MAX);
+        if at >= MOST_FILES {
+            continue;
+        }
+        read(disk, slot, HEADER as u64, &mut bytes)?;
+        let start = read_start(&bytes);
+        if found.slots.len() <= at {
+            found.slots.resize(at + 1, Slot::Missing);
+        }
+        let state = match start {
+            FileStart::Newer(version) => return Err(DiskError::Newer { file: disk.name(slot), version }),
+            FileStart::Header(header) => {
+                found.headers.push((header, slot));
+                Slot::Used(header.seq)
+            }
+            FileStart::Blank => Slot::Free,
+            FileStart::Bad => {
+                found.bad.push(slot);
+                Slot::Free
+            }
+        };
+        if let Some(known) = found.slots.get_mut(at) {
+            *known = state;
+        }
+    }
+    found.headers.sort_unstable_by_key(|(header, _)| header.seq);
+    for ((one, _), (other, slot)) in found.headers.iter().zip(found.headers.iter().skip(1)) {
+        if one.identity != other.identity || one.file_units != other.file_units || one.seq == other.seq {
+            return Err(corrupt(
+                disk,
+                *slot,
+                0,
+                "its header isn't of this ring, or two files have the same place",
+            ));
+        }
+    }
+    Ok(found)
+}
+
+/// Reads the records of a file. Only the newest may end without having been closed.
+fn content<D: Disk>(disk: &mut D, (header, slot): (Header, u32), newest: bool) -> Result<Content, DiskError> {
+    let mut bytes = Vec::new();
+    read(disk, slot, header.file_bytes(), &mut bytes)?;
+    let mut content = Content {
+        records: Vec::new(),
+        next_serial: header.first_serial,
+        life: header.life,
+        low: header.low,
+        offset: HEADER,
+        closed: false,
+        torn: false,
+    };
+    while let Some((stored, next)) = Stored::read(&bytes, content.offset) {
+        // A start's first record raises the life; what an earlier life left behind the end of the log is not of it.
+        let begins_life =
+            matches!(stored.owner, Owner::Opening | Owner::Closing) && stored.life > content.life;
+        if stored.serial != content.next_serial || (stored.life != content.life && !begins_life) {
+            break;
+        }
+        content.life = stored.life;
+        content.next_serial += 1;
+        content.offset = next;
+        match stored.owner {
+            Owner::User => content.records.push((stored.serial, stored.record)),
+            Owner::Opening | Owner::Mark => content.low = content.low.max(stored.record.number),
+            Owner::Closing => {
+                content.low = content.low.max(stored.record.number);
+                content.closed = true;
+                break;
+            }
+        }
+    }
+    if content.closed {
+        return Ok(content);
+    }
+    if !newest {
+        return Err(corrupt(disk, slot, content.offset as u64, "a record was on disk and can't be read"));
+    }
+    match after(&bytes, content.offset, content.next_serial, content.life) {
+        After::Synced => {
+            Err(corrupt(disk, slot, content.offset as u64, "a record was on disk and can't be read"))
+        }
+        After::Torn => {
+            content.torn = true;
+            Ok(content)
+        }
+        After::Nothing => Ok(content),
+    }
+}
+
+/// What comes after the end of the log.
+#[derive(PartialEq, Eq)]
+enum After {
+    /// Nothing, or only what was there before the file was used again.
+    Nothing,
+    /// Something that was being written, and was not on disk for sure.
+    Torn,
+    /// A record that says that the log was on disk beyond this end.
+    Synced,
+}
+
+/// Looks behind the end of the log. What an earlier life left there had been cut off before and says nothing.
+fn after(bytes: &[u8], end: usize, next_serial: u64, life: u32) -> After {
+    let mut after = if Stored::begins(bytes, end, next_serial, life) { After::Torn } else { After::Nothing };
+    let mut offset = end;
+    while offset < bytes.len() {
+        if let Some((stored, next)) = Stored::read(bytes, offset) {
+            if stored.serial >= next_serial && stored.life >= life {
+                after = After::Torn;
+                if stored.synced >= next_serial {
+                    return After::Synced;
+                }
+            }
+            offset = next;
+        } else {
+            offset += ALIGNED;
+        }
+    }
+    after
+}
+
+/// A file whose header can't be read was being begun, unless something in it says that the log had been on disk
+/// beyond its known end.
+fn refuse_if_synced<D: Disk>(disk: &mut D, slot: u32, next_serial: u64, life: u32) -> Result<(), DiskError> {
+    let mut bytes = Vec::new();
+    read(disk, slot, u64::MAX, &mut bytes)?;
+    if after(&bytes, HEADER, next_serial, life) == After::Synced {
+        return Err(corrupt(disk, slot, 0, "its header was on disk and can't be read"));
+    }
+    Ok(())
+}
+
+fn read<D: Disk>(disk: &mut D, slot: u32, most: u64, to: &mut Vec<u8>) -> Result<(), DiskError> {
+    let read = disk.open(slot).and_then(|mut file| file.read(most, to));
+    read.map_err(|error| DiskError::Io { file: disk.name(slot), error })
+}
+
+fn corrupt<D: Disk>(disk: &D, slot: u32, offset: u64, what: &'static str) -> DiskError {
+    DiskError::Corrupt { file: disk.name(slot), offset, what }
+}
--- /dev/null
+++ b/crates/disk-ring/src/ring.rs
@@ -0,0 +1,232 @@
+//! The ring as its users see it.
+
+use crate::disk::{Disk, Folder};
+use crate::error::DiskError;
+use crate::format::Owner;
+use crate::monitor::{Monitor, StdMonitor};
+use crate::place::{own, Job, Placer};
+use crate::recover::recover;
+use crate::writer::Writer;
+use crate::{LEAST_FILE, MOST_QUEUED};
+use bytes::Bytes;
+use std::path::Path;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::Arc;
+use std::thread::JoinHandle;
+use std::time::Duration;
+use tokio::sync::watch;
+
+/// The disk's thread needs little: its buffers are on the heap.
+const STACK: usize = 256 << 10;
+
+/// What is appended. Kind, group and number mean nothing to the ring.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Record {
+    /// What it is.
+    pub kind: u8,
+    /// What it belongs to.
+    pub group: u32,
+    /// Its number there.
+    pub number: u64,
+    /// The content.
+    pub body: Bytes,
+}
+
+/// The size of a ring. A ring that exists keeps the length of its files.
+#[derive(Debug, Clone, Copy)]
+pub struct Options {
+    /// Bytes of each file; a new ring writes one whole file at its start.
+    pub file_bytes: u64,
+    /// Files that may be made.
+    pub files_most: usize,
+}
+
+/// An opened ring with what was in it.
+pub struct Opened {
+    /// The ring.
+    pub ring: DiskRing,
+    /// What was appended and not released, with tickets, in order. All of it is on disk.
+    pub records: Vec<(u64, Record)>,
+    /// The ring's identity: the new one if it was empty.
+    pub identity: u64,
+    /// There was no ring: this is a newcomer.
+    pub fresh: bool,
+    /// A torn tail was cut off.
+    pub torn: bool,
+}
+
+/// A ring whose thread doesn't run yet.
+pub struct Prepared<D: Disk, M: Monitor<Shared>> {
+    /// The ring.
+    pub ring: DiskRing<M>,
+    /// What its thread does.
+    pub writer: Writer<D, M>,
+    /// See [`Opened`].
+    pub records: Vec<(u64, Record)>,
+    /// See [`Opened`].
+    pub identity: u64,
+    /// See [`Opened`].
+    pub fresh: bool,
+    /// See [`Opened`].
+    pub torn: bool,
+}
+
+/// What the ring's users and its thread share.
+pub struct Shared {
+    pub(crate) placer: Placer,
+    pub(crate) jobs: Vec<Job>,
+    /// Bytes of bodies in `jobs`.
+    pub(crate) queued: u64,
+    /// There is something that can't wait for the next append.
+    pub(crate) urgent: bool,
+    pub(crate) closing: bool,
+    pub(crate) failed: bool,
+}
+
+/// A ring of files that records are appended to.
+pub struct DiskRing<M: Monitor<Shared> = StdMonitor<Shared>> {
+    shared: Arc<M>,
+    synced: watch::Receiver<u64>,
+    slow: Arc<AtomicU64>,
+    thread: Option<JoinHandle<()>>,
+}
+
+/// Opens the ring of a folder, or makes one with `new_identity`. Blocks; for the start of a process only. When it
+/// returns, the identity and all records that it gives are on disk.
+pub fn open(dir: &Path, options: Options, new_identity: u64) -> Result<Opened, DiskError> {
+    let io = |error| DiskError::Io { file: dir.display().to_string(), error };
+    let disk = Folder::new(dir).map_err(io)?;
+    let Prepared { mut ring, writer, records, identity, fresh, torn } =
+        prepare::<_, StdMonitor<Shared>>(disk, options, new_identity)?;
+    let thread = std::thread::Builder::new().name("disk".into()).stack_size(STACK);
+    ring.thread = Some(thread.spawn(move || writer.run()).map_err(io)?);
+    Ok(Opened { ring, records, identity, fresh, torn })
+}
+
+/// Does what [`open`] does on any disk, and leaves it to the caller to run the writer.
+pub fn prepare<D: Disk, M: Monitor<Shared>>(
+    disk: D,
+    options: Options,
+    new_identity: u64,
+) -> Result<Prepared<D, M>, DiskError> {
+    if options.file_bytes < LEAST_FILE || options.files_most < 2 {
+        return Err(DiskError::Options);
+    }
+    let mut recovered = recover(disk, options, new_identity)?;
+    let mut jobs = Vec::new();
+    if !recovered.placer.place(Owner::Opening, own(recovered.placer.low), &mut jobs) {
+        return Err(DiskError::Full);
+    }
+    let (sender, synced) = watch::channel(0);
+    let slow = Arc::new(AtomicU64::new(0));
+    let shared = Shared {
+        placer: recovered.placer,
+        jobs: Vec::new(),
+        queued: 0,
+        urgent: false,
+        closing: false,
+        failed: false,
+    };
+    let shared = Arc::new(M::new(shared));
+    let mut writer = Writer::new(recovered.log, shared.clone(), sender, slow.clone());
+    writer.first(jobs)?;
+    Ok(Prepared {
+        ring: DiskRing { shared, synced, slow, thread: None },
+        writer,
+        records: recovered.records,
+        identity: recovered.identity,
+        fresh: recovered.fresh,
+        torn: recovered.torn,
+    })
+}
+
+impl<M: Monitor<Shared>> DiskRing<M> {
+    /// Hands a record to the disk's thread; its ticket is on disk once [`DiskRing::synced`] has reached it.
+    pub fn append(&self, record: Record) -> Result<u64, DiskError> {
+        let len = record.body.len();
+        let ticket = self.shared.with(|shared| {
+            if shared.failed || shared.closing {
+                return Err(DiskError::Failed);
+            }
+            if len as u64 > shared.placer.longest() {
+                return Err(DiskError::TooLong { len });
+            }
+            if shared.queued > 0 && shared.queued + len as u64 > MOST_QUEUED {
+                return Err(DiskError::Full);
+            }
+            if !shared.placer.place(Owner::User, record, &mut shared.jobs) {
+                return Err(DiskError::Full);
+            }
+            shared.queued += len as u64;
+            // The one that waits was woken already if there was something urgent before.
+            let wake = !std::mem::replace(&mut shared.urgent, true);
+            Ok((shared.placer.next_serial - 1, wake))
+        });
+        ticket.map(|(ticket, wake)| {
+            if wake {
+                self.shared.wake();
+            }
+            ticket
+        })
+    }
+
+    /// The newest ticket that is on disk with all before it. Its sender goes away when the disk fails.
+    pub fn synced(&self) -> watch::Receiver<u64> {
+        self.synced.clone()
+    }
+
+    /// Records before the ticket are of no more use; files are used again once nothing else is in them. This is
+    /// written down with the next append.
+    pub fn release_before(&self, ticket: u64) {
+        self.shared.with(|shared| {
+            if !shared.failed && !shared.closing {
+                shared.placer.release(ticket, &mut shared.jobs);
+            }
+        });
+    }
+
+    /// Bytes of files in use, from the oldest that holds something not released to the end.
+    pub fn used(&self) -> u64 {
+        self.shared.with(|shared| shared.placer.used())
+    }
+
+    /// Bytes that all files together may have.
+    pub fn capacity(&self) -> u64 {
+        self.shared.with(|shared| shared.placer.files_most as u64 * shared.placer.file_bytes)
+    }
+
+    /// The longest body that can be appended.
+    pub fn longest(&self) -> u64 {
+        self.shared.with(|shared| shared.placer.longest())
+    }
+
+    /// How long the last sync took.
+    pub fn slow(&self) -> Duration {
+        Duration::from_micros(self.slow.load(Ordering::Relaxed))
+    }
+
+    /// Whether a write or a sync has failed.
+    pub fn failed(&self) -> bool {
+        self.shared.with(|shared| shared.failed)
+    }
+
+    /// Has everything written and synced, and waits for the thread to end.
+    pub fn close(mut self) {
+        self.finish();
+    }
+
+    fn finish(&mut self) {
+        self.shared.with(|shared| shared.closing = true);
+        self.shared.wake();
+        if let Some(thread) = self.thread.take() {
+            // The thread doesn't panic; if it did, nothing more is synced, which is all that there is to say.
+            let _ = thread.join();
+        }
+    }
+}
+
+impl<M: Monitor<Shared>> Drop for DiskRing<M> {
+    fn drop(&mut self) {
+        self.finish();
+    }
+}
