--- /dev/null
+++ b/crates/view/tests/support/keeper.rs
@@ -0,0 +1,380 @@
+//! One keeper: its process, its disk, and the owner's part (who is alive, when the next view is proposed).
+
+use std::collections::{BTreeMap, VecDeque};
+use std::net::SocketAddr;
+
+use bytes::Bytes;
+use chain::{Member, Ms, Node, Seen, Status, Write};
+use view::{next_keeper_view, Agreement, KeeperView};
+
+use super::checker::{Checker, History};
+use super::{Dice, Faults};
+
+pub const WANTED: usize = 3;
+pub const LEAST: usize = 2;
+/// Silent for longer: dead.
+const SILENT_MS: Ms = 800;
+
+#[derive(Debug, Clone)]
+pub enum Wire {
+    Chain(Bytes),
+    View(Bytes),
+    Hello { id: u64, status: Status, leaving: bool },
+}
+
+#[derive(Debug, Clone)]
+pub enum Record {
+    Chain(Bytes),
+    View(Bytes),
+    /// The id of this disk.
+    Id(u64),
+}
+
+#[derive(Debug, Default)]
+pub struct Disk {
+    pub records: Vec<Record>,
+    /// So many of them are safe from a loss of power.
+    pub safe: usize,
+    /// The tickets behind each record.
+    tickets: VecDeque<(usize, bool, u64)>,
+    /// A sync under way covers so many records and ends then.
+    pub syncing: Option<(usize, Ms)>,
+}
+
+struct Heard {
+    at: Ms,
+    id: u64,
+    status: Status,
+    leaving: bool,
+}
+
+pub struct Process {
+    pub me: Member,
+    pub agreement: Agreement,
+    pub node: Node<History>,
+    heard: BTreeMap<SocketAddr, Heard>,
+    need_since: Option<Ms>,
+    /// Proposed by this head and not acknowledged: number and id.
+    waiting: BTreeMap<u64, u64>,
+    /// Reads that wait for a token: the view, and what was acknowledged when they were asked.
+    reading: BTreeMap<u64, (u64, u64)>,
+    hello_at: Ms,
+    pub leaving: bool,
+    /// Commits up to this were looked at.
+    checked: u64,
+}
+
+pub struct Keeper {
+    pub addr: SocketAddr,
+    pub disk: Disk,
+    pub process: Option<Process>,
+    pub frozen_until: Ms,
+    pub inbox: Vec<(SocketAddr, Wire)>,
+    pub starts_at: Option<Ms>,
+    pub started_at: Ms,
+    /// Until then the disk syncs slowly.
+    pub slow_until: Ms,
+}
+
+impl Keeper {
+    /// Starts the process with what the disk holds. `founding` only on the first start of a founder.
+    pub fn start(&mut self, now: Ms, founding: Option<KeeperView>, dice: &mut Dice, faults: Faults) {
+        // The owner syncs what it reads.
+        self.disk.safe = self.disk.records.len();
+        self.disk.syncing = None;
+        self.disk.tickets.clear();
+        let mut id = None;
+        let mut agreed = view::Recovered::default();
+        let mut chain = chain::Recovered::default();
+        for record in &self.disk.records {
+            match record {
+                Record::Id(own) => id = Some(*own),
+                Record::View(bytes) => {
+                    let record = view::Record::decode(bytes).expect("what we wrote");
+                    let forgets = faults.forgets_promises && !matches!(record, view::Record::Chosen { .. });
+                    if !forgets {
+                        agreed.replay(record);
+                    }
+                }
+                Record::Chain(bytes) => chain.replay(Write::decode(bytes).expect("what we wrote")),
+            }
+        }
+        let id = id.unwrap_or_else(|| {
+            let id = if founding.is_some() { 0 } else { 1 + dice.below(1 << 40) };
+            self.disk.records.push(Record::Id(id));
+            id
+        });
+        let me = Member { id, addr: self.addr, since: 0 };
+        let filler = if dice.permille(500) { dice.below(400_000) as usize } else { 0 };
+        let node = Node::new(me.clone(), History { ids: Vec::new(), filler }, chain);
+        let agreement = Agreement::new(me.clone(), founding, agreed);
+        if dice.permille(400) {
+            // The disk is compacted: all that is known, in a file begun anew.
+            self.disk.records = vec![Record::Id(id)];
+            self.disk.records.extend(agreement.whole().into_iter().map(Record::View));
+            self.disk.records.extend(node.whole().iter().map(|w| Record::Chain(w.encode())));
+            self.disk.safe = self.disk.records.len();
+        }
+        self.process = Some(Process {
+            me,
+            agreement,
+            node,
+            heard: BTreeMap::new(),
+            need_since: None,
+            waiting: BTreeMap::new(),
+            reading: BTreeMap::new(),
+            hello_at: now,
+            leaving: false,
+            checked: 0,
+        });
+        self.starts_at = None;
+        self.started_at = now;
+    }
+
+    /// The process ends; the system still has most of what was given to the disk.
+    pub fn kill(&mut self, dice: &mut Dice) {
+        self.process = None;
+        self.inbox.clear();
+        let unsafe_ones = self.disk.records.len() - self.disk.safe;
+        let lost = dice.below(unsafe_ones as u64 + 1) as usize;
+        if dice.permille(300) {
+            self.disk.records.truncate(self.disk.records.len() - lost);
+        }
+        self.disk.syncing = None;
+    }
+
+    /// Power goes: of what was not synced, a part stays, or nothing; the rest is torn or missing.
+    pub fn lose_power(&mut self, dice: &mut Dice) {
+        self.process = None;
+        self.inbox.clear();
+        let unsafe_ones = self.disk.records.len() - self.disk.safe;
+        let stays = if dice.permille(500) { 0 } else { dice.below(unsafe_ones as u64 + 1) as usize };
+        self.disk.records.truncate(self.disk.safe + stays);
+        self.disk.syncing = None;
+    }
+
+    pub fn wipe(&mut self, faults: Faults) {
+        self.process = None;
+        self.inbox.clear();
+        let id = self.disk.records.iter().find_map(|r| if let Record::Id(id) = r { Some(*id) } else { None });
+        self.disk = Disk::default();
+        if let (true, Some(id)) = (faults.keeps_id, id) {
+            self.disk.records.push(Record::Id(id));
+        }
+    }
+
+    fn record(&mut self, record: Record, chain: bool, ticket: u64) {
+        self.disk.records.push(record);
+        self.disk.tickets.push_back((self.disk.records.len(), chain, ticket));
+    }
+
+    /// Does what both machines ask for until they are quiet; gives what goes to the network.
+    pub fn drain(&mut self, now: Ms, checker: &mut Checker, faults: Faults) -> Vec<(SocketAddr, Wire)> {
+        let mut send = Vec::new();
+        loop {
+            let Some(process) = self.process.as_mut() else { return send };
+            let agreed = process.agreement.take();
+            let chain = process.node.take();
+            if agreed.is_empty() && chain.is_empty() {
+                break;
+            }
+            for out in agreed {
+                let Some(process) = self.process.as_mut() else { return send };
+                match out {
+                    view::Out::Send { to, msg } => send.push((to, Wire::View(msg.encode()))),
+                    view::Out::Write { ticket, record } => self.record(Record::View(record), false, ticket),
+                    view::Out::Chosen(value) => {
+                        checker.views = checker.views.max(value.number());
+                        process.node.enter(now, value.view);
+                        process.need_since = None;
+                    }
+                    view::Out::Confirmed { token, ok } => process.answer_read(token, ok, checker),
+                }
+            }
+            for out in chain {
+                let Some(process) = self.process.as_mut() else { return send };
+                match out {
+                    chain::Out::Send { to, msg } => send.push((to, Wire::Chain(msg.encode()))),
+                    chain::Out::Write { ticket, write } => {
+                        let drop = faults.drops_in_sync && matches!(write, Write::InSync { .. });
+                        if drop {
+                            self.disk.tickets.push_back((self.disk.records.len(), true, ticket));
+                        } else {
+                            self.record(Record::Chain(write.encode()), true, ticket);
+                        }
+                    }
+                    chain::Out::Committed { number } => process.committed(number, checker, faults),
+                    chain::Out::Reset => {
+                        checker.restored += 1;
+                        process.waiting.clear();
+                        process.checked = 0;
+                    }
+                }
+            }
+            if faults.synced_early {
+                self.tell_synced(now, usize::MAX);
+            }
+        }
+        send
+    }
+
+    fn tell_synced(&mut self, now: Ms, upto: usize) {
+        let Some(process) = self.process.as_mut() else { return };
+        let (mut view, mut chain) = (None, None);
+        while self.disk.tickets.front().is_some_and(|t| t.0 <= upto) {
+            if let Some((_, of_chain, ticket)) = self.disk.tickets.pop_front() {
+                *(if of_chain { &mut chain } else { &mut view }) = Some(ticket);
+            }
+        }
+        if let Some(ticket) = view {
+            process.agreement.synced(now, ticket);
+        }
+        if let Some(ticket) = chain {
+            process.node.synced(now, ticket);
+        }
+    }
+
+    /// The disk's work: one sync at a time covers all that was written when it began.
+    pub fn work_disk(&mut self, now: Ms, dice: &mut Dice) {
+        if let Some((upto, _)) = self.disk.syncing.filter(|s| s.1 <= now) {
+            self.disk.syncing = None;
+            self.disk.safe = self.disk.safe.max(upto);
+            self.tell_synced(now, upto);
+        }
+        let waits = self.disk.safe < self.disk.records.len() || !self.disk.tickets.is_empty();
+        if self.disk.syncing.is_none() && waits {
+            let takes = if now < self.slow_until { dice.between(30, 250) } else { dice.between(1, 6) };
+            self.disk.syncing = Some((self.disk.records.len(), now + takes));
+        }
+    }
+}
+
+impl Process {
+    pub fn message(&mut self, now: Ms, from: SocketAddr, wire: Wire) {
+        match wire {
+            Wire::Chain(bytes) => {
+                self.node.message(now, from, chain::Msg::decode(&bytes).expect("what was sent"))
+            }
+            Wire::View(bytes) => {
+                self.agreement.message(now, from, view::Msg::decode(&bytes).expect("what was sent"))
+            }
+            Wire::Hello { id, status, leaving } => {
+                self.heard.insert(from, Heard { at: now, id, status, leaving });
+            }
+        }
+    }
+
+    fn status(&self, faults: Faults) -> Status {
+        let mut status = self.node.status();
+        if faults.claims_in_sync {
+            status.in_sync_view = status.view;
+        }
+        status
+    }
+
+    /// Every 50 ms.
+    pub fn tick(&mut self, now: Ms, all: &[SocketAddr], faults: Faults) -> Vec<(SocketAddr, Wire)> {
+        self.agreement.tick(now);
+        self.node.tick(now);
+        if !self.node.is_head() {
+            self.waiting.clear();
+        }
+        self.plan(now, all, faults);
+        if now < self.hello_at + 200 {
+            return Vec::new();
+        }
+        self.hello_at = now;
+        if self.agreement.current().is_none() {
+            for addr in all.iter().filter(|a| **a != self.me.addr) {
+                self.agreement.ask(now, *addr);
+            }
+        }
+        let hello = Wire::Hello { id: self.me.id, status: self.status(faults), leaving: self.leaving };
+        all.iter().filter(|a| **a != self.me.addr).map(|a| (*a, hello.clone())).collect()
+    }
+
+    fn plan(&mut self, now: Ms, all: &[SocketAddr], faults: Faults) {
+        let Some(current) = self.agreement.current().cloned() else { return };
+        if current.view.place(&self.me).is_none() && !current.accepts(&self.me) {
+            return;
+        }
+        let mut seen: Vec<Seen> = Vec::new();
+        for (zone, addr) in all.iter().enumerate() {
+            let own = (self.me.id, true, self.status(faults), self.leaving);
+            let (id, alive, status, leaving) = match self.heard.get(addr) {
+                _ if *addr == self.me.addr => own,
+                Some(h) => (h.id, now.saturating_sub(h.at) < SILENT_MS, h.status, h.leaving),
+                None => continue,
+            };
+            let member = Member { id, addr: *addr, since: 0 };
+            let zone = zone as u64;
+            seen.push(Seen { member, alive, status: Some(status), zone, leaving, unwanted: false });
+        }
+        let dead_for = |m: &Member| self.heard.get(&m.addr).map_or(0, |h| now.saturating_sub(h.at));
+        let Some(next) = next_keeper_view(&current, &seen, WANTED, LEAST, &dead_for) else {
+            self.need_since = None;
+            return;
+        };
+        let before = current.view.members.iter().take_while(|m| !m.is(&self.me));
+        let before = before.filter(|m| seen.iter().any(|s| s.alive && s.member.is(m))).count() as u64;
+        let since = *self.need_since.get_or_insert(now);
+        if now.saturating_sub(since) >= 100 + 300 * before {
+            self.agreement.propose(now, next);
+        }
+    }
+
+    /// A client's command; none if this is not a head that can commit.
+    pub fn command(&mut self, now: Ms, id: u64, len: usize, checker: &mut Checker, faults: Faults) -> bool {
+        let few = self.node.view().is_none_or(|v| v.members.len() < LEAST) && !faults.acknowledges_alone;
+        if !self.node.is_head() || few {
+            return false;
+        }
+        let mut command = vec![0; 8 + len];
+        command[..8].copy_from_slice(&id.to_be_bytes());
+        let Some(number) = self.node.propose(now, Bytes::from(command)) else { return false };
+        self.waiting.insert(number, id);
+        if faults.acknowledges_early {
+            checker.acknowledged(number, id);
+        }
+        true
+    }
+
+    fn committed(&mut self, number: u64, checker: &mut Checker, faults: Faults) {
+        let members = self.node.view().map_or(0, |v| v.members.len());
+        if members < LEAST && !faults.acknowledges_alone {
+            return;
+        }
+        checker.committed(self.checked, number, self.node.machine());
+        self.checked = number;
+        while let Some((n, id)) = self.waiting.pop_first() {
+            if n > number {
+                self.waiting.insert(n, id);
+                break;
+            }
+            checker.acknowledged(n, id);
+        }
+    }
+
+    /// A client's read, at the tail.
+    pub fn read(&mut self, now: Ms, checker: &mut Checker, faults: Faults) {
+        let view = self.agreement.current().map_or(0, KeeperView::number);
+        if !self.node.is_tail() || !self.node.active() || self.node.status().view != view {
+            return;
+        }
+        let acked = checker.acked_up_to();
+        if faults.reads_unconfirmed {
+            checker.read(acked, self.node.machine(), false);
+            return;
+        }
+        let token = self.agreement.confirm(now);
+        self.reading.insert(token, (view, acked));
+    }
+
+    fn answer_read(&mut self, token: u64, ok: bool, checker: &mut Checker) {
+        let Some((view, acked)) = self.reading.remove(&token) else { return };
+        if ok && self.node.is_tail() && self.node.active() && self.node.status().view == view {
+            checker.read(acked, self.node.machine(), false);
+        }
+    }
+}
+
--- /dev/null
+++ b/crates/view/tests/support/mod.rs
@@ -0,0 +1,52 @@
+//! Keepers in virtual time: the real agreement and chain over a network and disks that misbehave by a seed.
+
+pub mod checker;
+pub mod keeper;
+pub mod world;
+
+use rand_pcg::rand_core::{RngCore, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+
+/// Numbers drawn from a seed.
+pub struct Dice(Pcg64Mcg);
+
+impl Dice {
+    pub fn new(seed: u64) -> Dice {
+        Dice(Pcg64Mcg::seed_from_u64(seed))
+    }
+
+    /// Below `n`.
+    pub fn below(&mut self, n: u64) -> u64 {
+        self.0.next_u64() % n.max(1)
+    }
+
+    pub fn between(&mut self, least: u64, most: u64) -> u64 {
+        least + self.below(most - least + 1)
+    }
+
+    /// True in so many of a thousand.
+    pub fn permille(&mut self, n: u64) -> bool {
+        self.below(1_000) < n
+    }
+}
+
+/// Faults planted in the harness, to see that the checker finds them.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct Faults {
+    /// Records count as synced as soon as they are given to the disk.
+    pub synced_early: bool,
+    /// `InSync` is claimed for any view that was entered.
+    pub claims_in_sync: bool,
+    /// A machine that lost its disk comes back under its old id.
+    pub keeps_id: bool,
+    /// An acceptor forgets at a restart what it has promised and accepted.
+    pub forgets_promises: bool,
+    /// The head acknowledges as soon as it has proposed.
+    pub acknowledges_early: bool,
+    /// What a chain of one committed is acknowledged.
+    pub acknowledges_alone: bool,
+    /// Reads are answered without asking a majority.
+    pub reads_unconfirmed: bool,
+    /// `InSync` is not written, but counts as synced.
+    pub drops_in_sync: bool,
+}
--- /dev/null
+++ b/crates/view/tests/support/world.rs
@@ -0,0 +1,344 @@
+//! The network, the faults of a day, and its end: all healed, the system goes on and nothing is lost.
+
+use std::cmp::Reverse;
+use std::collections::BinaryHeap;
+use std::net::SocketAddr;
+
+use chain::{Member, Ms, View};
+use view::KeeperView;
+
+use super::checker::Checker;
+use super::keeper::{Disk, Keeper, Wire};
+use super::{Dice, Faults};
+
+/// A day's length, and the calm at its end.
+const DAY_MS: Ms = 18_000;
+const CALM_MS: Ms = 9_000;
+/// Within the day, trouble and calm take turns.
+const TURN_MS: Ms = 9_000;
+const TROUBLE_MS: Ms = 1_800;
+/// The founding records are on disk by then: the platform harms nothing while it starts a system.
+const FOUNDED_MS: Ms = 1_200;
+const LONGEST_MS: Ms = 1_800;
+/// A machine counts as lost for so long after it is back; only then may a disk go.
+const SYNC_MS: Ms = 5_000;
+const TICK_MS: Ms = 50;
+
+pub struct World {
+    dice: Dice,
+    faults: Faults,
+    now: Ms,
+    keepers: Vec<Keeper>,
+    addrs: Vec<SocketAddr>,
+    /// Ends of cuts: from, to.
+    cut: Vec<Vec<Ms>>,
+    loss_permille: u64,
+    slow_permille: u64,
+    /// When, then in the order of sending: to, from, what.
+    mail: BinaryHeap<Reverse<(Ms, u64)>>,
+    bodies: std::collections::HashMap<u64, (usize, usize, Wire)>,
+    sent: u64,
+    pub checker: Checker,
+    next_id: u64,
+    /// Some leave in an orderly way: who, and when the process ends.
+    leaving: Option<(usize, Ms)>,
+}
+
+impl World {
+    pub fn new(seed: u64, faults: Faults) -> World {
+        let mut dice = Dice::new(seed);
+        let count = dice.between(3, 5) as usize;
+        let addrs: Vec<SocketAddr> =
+            (0..count).map(|n| SocketAddr::from(([10, 0, 0, n as u8 + 1], 7000))).collect();
+        let keepers = addrs
+            .iter()
+            .map(|addr| Keeper {
+                addr: *addr,
+                disk: Disk::default(),
+                process: None,
+                frozen_until: 0,
+                inbox: Vec::new(),
+                starts_at: None,
+                started_at: 0,
+                slow_until: 0,
+            })
+            .collect();
+        let lossy = dice.permille(500);
+        World {
+            loss_permille: if lossy { dice.below(80) } else { 0 },
+            slow_permille: if dice.permille(500) { dice.below(100) } else { 0 },
+            dice,
+            faults,
+            now: 1_000,
+            keepers,
+            cut: vec![vec![0; count]; count],
+            addrs,
+            mail: BinaryHeap::new(),
+            bodies: std::collections::HashMap::new(),
+            sent: 0,
+            checker: Checker::default(),
+            next_id: 1,
+            leaving: None,
+        }
+    }
+
+    /// Plays the day; gives what was broken.
+    pub fn play(&mut self) -> Option<String> {
+        let founders: Vec<Member> =
+            self.addrs.iter().take(3).map(|addr| Member { id: 0, addr: *addr, since: 1 }).collect();
+        let founding = KeeperView {
+            view: View { number: 1, members: founders.clone(), joining: Vec::new() },
+            acceptors: founders,
+        };
+        for (n, keeper) in self.keepers.iter_mut().enumerate() {
+            keeper.start(self.now, (n < 3).then(|| founding.clone()), &mut self.dice, self.faults);
+        }
+        let end = self.now + DAY_MS;
+        while self.now < end && self.checker.broken.is_none() {
+            self.trouble();
+            self.step(true);
+        }
+        self.heal();
+        let calm = self.now + CALM_MS;
+        let before = self.checker.acked.len();
+        while self.now < calm && self.checker.broken.is_none() {
+            self.step(self.now < calm - 3_000);
+        }
+        if self.checker.broken.is_none() {
+            self.last_look(before);
+        }
+        self.checker.broken.take()
+    }
+
+    /// One millisecond.
+    fn step(&mut self, clients: bool) {
+        self.now += 1;
+        let now = self.now;
+        while self.mail.peek().is_some_and(|Reverse((at, _))| *at <= now) {
+            let Some(Reverse((_, number))) = self.mail.pop() else { break };
+            let Some((to, from, wire)) = self.bodies.remove(&number) else { continue };
+            let from = self.addrs[from];
+            if self.keepers[to].process.is_some() {
+                self.keepers[to].inbox.push((from, wire));
+            }
+        }
+        for n in 0..self.keepers.len() {
+            let keeper = &mut self.keepers[n];
+            if keeper.starts_at.is_some_and(|at| at <= now) {
+                keeper.start(now, None, &mut self.dice, self.faults);
+            }
+            if keeper.frozen_until > now {
+                continue;
+            }
+            let before = keeper.disk.syncing;
+            keeper.work_disk(now, &mut self.dice);
+            let synced = before != keeper.disk.syncing;
+            let inbox = std::mem::take(&mut keeper.inbox);
+            let ticks = (now + n as Ms * 7) % TICK_MS == 0;
+            if !synced && inbox.is_empty() && !ticks {
+                continue;
+            }
+            let mut send = Vec::new();
+            if let Some(process) = keeper.process.as_mut() {
+                for (from, wire) in inbox {
+                    process.message(now, from, wire);
+                }
+                if ticks {
+                    send = process.tick(now, &self.addrs, self.faults);
+                }
+            }
+            send.extend(keeper.drain(now, &mut self.checker, self.faults));
+            self.post(n, send);
+        }
+        if clients && now % 7 == 0 {
+            self.client();
+        }
+    }
+
+    fn client(&mut self) {
+        let n = self.dice.below(self.keepers.len() as u64) as usize;
+        let now = self.now;
+        if self.keepers[n].frozen_until > now {
+            return;
+        }
+        let len = if self.dice.permille(20) { 100_000 } else { self.dice.below(300) as usize };
+        let read = self.dice.permille(200);
+        if let Some(process) = self.keepers[n].process.as_mut() {
+            if read {
+                process.read(now, &mut self.checker, self.faults);
+            } else if process.command(now, self.next_id, len, &mut self.checker, self.faults) {
+                self.next_id += 1;
+            }
+        }
+        let send = self.keepers[n].drain(now, &mut self.checker, self.faults);
+        self.post(n, send);
+    }
+
+    fn post(&mut self, from: usize, send: Vec<(SocketAddr, Wire)>) {
+        for (to, wire) in send {
+            let Some(to) = self.addrs.iter().position(|a| *a == to) else { continue };
+            if self.cut[from][to] > self.now || self.dice.permille(self.loss_permille) {
+                continue;
+            }
+            let slow = self.dice.permille(self.slow_permille);
+            let delay = if slow { self.dice.between(20, 1_500) } else { self.dice.between(1, 12) };
+            self.sent += 1;
+            self.bodies.insert(self.sent, (to, from, wire));
+            self.mail.push(Reverse((self.now + delay, self.sent)));
+        }
+    }
+
+    /// Nothing was lost for so long that the platform may take a disk.
+    fn budget_is_whole(&self) -> bool {
+        let up = self.keepers.iter().all(|k| k.process.is_some());
+        let ends = self.keepers.iter().map(|k| k.frozen_until.max(k.slow_until).max(k.started_at));
+        let ends = ends.chain(self.cut.iter().flatten().copied()).max().unwrap_or(0);
+        up && self.leaving.is_none() && self.now >= ends + SYNC_MS
+    }
+
+    fn trouble(&mut self) {
+        let now = self.now;
+        if let Some((n, _)) = self.leaving.filter(|l| l.1 <= now) {
+            self.leaving = None;
+            if self.keepers[n].process.as_ref().is_some_and(|p| p.leaving) {
+                self.keepers[n].kill(&mut self.dice);
+                self.keepers[n].starts_at = Some(now + self.dice.between(100, 2_500));
+            }
+        }
+        let trouble = now > FOUNDED_MS && now % TURN_MS < TROUBLE_MS;
+        if !self.dice.permille(if trouble { 10 } else { 2 }) {
+            return;
+        }
+        let kind = if trouble { self.dice.below(12) } else { 10 };
+        let count = self.keepers.len() as u64;
+        let n = self.dice.below(count) as usize;
+        let m = self.dice.below(count) as usize;
+        let span = now + self.dice.between(50, LONGEST_MS);
+        let restart = now + self.dice.between(20, LONGEST_MS);
+        match kind {
+            0 | 1 if self.keepers[n].process.is_some() => {
+                self.keepers[n].kill(&mut self.dice);
+                self.keepers[n].starts_at = Some(restart);
+            }
+            2 | 3 if self.keepers[n].process.is_some() => {
+                self.keepers[n].lose_power(&mut self.dice);
+                self.keepers[n].starts_at = Some(restart);
+            }
+            4 => self.keepers[n].frozen_until = span,
+            5 => {
+                self.cut[n][m] = span;
+                self.cut[m][n] = span;
+            }
+            6 => self.cut[n][m] = span,
+            7 => {
+                // One machine is cut off whole, perhaps in one direction only.
+                let (out, into) = (self.dice.permille(800), self.dice.permille(800));
+                for other in 0..self.keepers.len() {
+                    if out {
+                        self.cut[n][other] = span;
+                    }
+                    if into {
+                        self.cut[other][n] = span;
+                    }
+                }
+            }
+            8 => self.keepers[n].slow_until = span,
+            9 if self.leaving.is_none() => {
+                if let Some(process) = self.keepers[n].process.as_mut() {
+                    process.leaving = true;
+                    self.leaving = Some((n, now + 1_000));
+                }
+            }
+            10 if self.budget_is_whole() => {
+                self.checker.wipes += 1;
+                let others_too = self.dice.permille(300);
+                for other in 0..self.keepers.len() {
+                    if other == n {
+                        self.keepers[other].wipe(self.faults);
+                    } else if others_too {
+                        self.keepers[other].lose_power(&mut self.dice);
+                    } else {
+                        continue;
+                    }
+                    self.keepers[other].starts_at = Some(now + self.dice.between(20, 1_500));
+                }
+            }
+            11 if self.dice.permille(300) => {
+                for other in 0..self.keepers.len() {
+                    self.keepers[other].lose_power(&mut self.dice);
+                    self.keepers[other].starts_at = Some(now + self.dice.between(20, 1_500));
+                }
+            }
+            _ => {}
+        }
+    }
+
+    fn heal(&mut self) {
+        self.loss_permille = 0;
+        self.slow_permille = 0;
+        for row in &mut self.cut {
+            row.fill(0);
+        }
+        for keeper in &mut self.keepers {
+            keeper.frozen_until = 0;
+            keeper.slow_until = 0;
+            if let Some(process) = keeper.process.as_mut() {
+                process.leaving = false;
+            } else {
+                keeper.starts_at = keeper.starts_at.or(Some(self.now + 100)).map(|at| at.min(self.now + 100));
+            }
+        }
+        self.leaving = None;
+    }
+
+    /// All have been calm for long: new commands were acknowledged, and the tail has all of them.
+    fn last_look(&mut self, acked_before: usize) {
+        let progress = self.checker.acked.len() - acked_before;
+        if progress < 30 {
+            let state = self.state();
+            return self.checker.broke(format!("only {progress} were acknowledged in the calm; {state}"));
+        }
+        let tails: Vec<usize> = (0..self.keepers.len())
+            .filter(|n| self.keepers[*n].process.as_ref().is_some_and(|p| p.node.is_tail() && p.node.active()))
+            .collect();
+        let &[tail] = tails.as_slice() else {
+            let state = self.state();
+            return self.checker.broke(format!("tails {tails:?}; {state}"));
+        };
+        let Some(process) = &self.keepers[tail].process else { return };
+        let members = process.node.view().map_or(0, |v| v.members.len());
+        self.checker.read(self.checker.acked_up_to(), process.node.machine(), true);
+        if members != super::keeper::WANTED {
+            let state = self.state();
+            self.checker.broke(format!("the chain has {members} members at the end; {state}"));
+        }
+        let histories: Vec<&Vec<u64>> =
+            self.keepers.iter().flat_map(|k| &k.process).filter(|p| p.node.active()).map(|p| &p.node.machine().ids).collect();
+        if histories.windows(2).any(|pair| pair[0] != pair[1]) {
+            self.checker.broke("the members' tables differ at the end".to_owned());
+        }
+    }
+
+    fn state(&self) -> String {
+        let mut lines = Vec::new();
+        for keeper in &self.keepers {
+            let Some(p) = &keeper.process else {
+                lines.push(format!("{}: down", keeper.addr));
+                continue;
+            };
+            lines.push(format!(
+                "{}: {:?} {:?} committed {} acceptors {:?} view {:?}",
+                keeper.addr,
+                p.node.status(),
+                p.me.id,
+                p.node.committed(),
+                p.agreement.current().map(|c| c.acceptors.iter().map(|a| (a.addr, a.id)).collect::<Vec<_>>()),
+                p.node.view().map(|v| (
+                    v.members.iter().map(|m| (m.addr, m.id, m.since)).collect::<Vec<_>>(),
+                    v.joining.iter().map(|m| (m.addr, m.id)).collect::<Vec<_>>()
+                )),
+            ));
+        }
+        lines.join("\n")
+    }
+}
