--- a/crates/lots/src/owner.rs
+++ b/crates/lots/src/owner.rs
@@ -5,6 +5,8 @@
 //! [`OPEN_AFTER_MS`] it gives out nothing, so that they come first; an item given out twice all the same runs
 //! twice at worst, and is listed once.
 
+mod time;
+
 use crate::codec::Message;
 use crate::codes;
 use crate::command::{content, Command, ItemResult, Take};
@@ -21,18 +23,8 @@
 
 /// A new head gives out no items for so long: carriers say every 500 ms what they hold.
 pub const OPEN_AFTER_MS: u64 = 600;
-/// How often silent holders are looked for.
-const SWEEP_MS: u64 = 500;
-/// An idle partition with lots says at least so often what its clock shows, for the next head to go on from.
-const CLOCK_EVERY_MS: u64 = 5_000;
-/// How much longer than promised a lot stays readable: a read may be on its way.
-const FORGET_MARGIN_MS: u64 = 10_000;
-/// A lot that its client never ended is kept for so many times the promised time, and no longer.
-const NEVER_ENDED: u64 = 10;
 /// Results are put together up to about so many bytes.
 const RESULTS_BYTES: usize = 1 << 20;
-/// So many lots are forgotten or given up in one turn at most: the rest waits for the next.
-const PER_TURN: usize = 32;
 
 /// What becomes of a submitted lot.
 #[derive(Debug, Clone, PartialEq, Eq)]
--- a/crates/lots/src/owner/time.rs
+++ b/crates/lots/src/owner/time.rs
@@ -8,9 +8,20 @@
 use chain::Ms;
 use compact_str::CompactString;
 
+/// How often silent holders are looked for.
+const SWEEP_MS: u64 = 500;
+/// An idle partition with lots says at least so often what its clock shows, for the next head to go on from.
+const CLOCK_EVERY_MS: u64 = 5_000;
+/// How much longer than promised a lot stays readable: a read may be on its way.
+const FORGET_MARGIN_MS: u64 = 10_000;
+/// A lot that its client never ended is kept for so many times the promised time, and no longer.
+const NEVER_ENDED: u64 = 10;
+/// So many lots are forgotten or given up in one turn at most: the rest waits for the next.
+const PER_TURN: usize = 32;
+
 impl Owner {
     /// A lot is over: when to look whether it may be forgotten. [`Owner::forget_lot`] asks the table again.
-    fn plan_forgetting(&mut self, id: &CompactString, taken: u64) {
+    pub(super) fn plan_forgetting(&mut self, id: &CompactString, taken: u64) {
         self.forget_at(id, taken.saturating_add(self.poll_ms).saturating_add(FORGET_MARGIN_MS));
     }
 
--- a/crates/lots/src/wire.rs
+++ b/crates/lots/src/wire.rs
@@ -18,8 +18,8 @@
 pub use crate::codec::{Message, WireError};
 pub use map::{Beat, ChainFrame, Grant, PartStatus, StoreInfo, StoreMap, StoreState};
 pub use work::{
-    Done, DoneAnswer, DoneCall, Elsewhere, FetchAnswer, FetchCall, Held, HeldPart, HoldAnswer, HoldCall, HoldPart, Leased,
-    Outcome, PartAnswer, Want,
+    Done, DoneAnswer, DoneCall, Elsewhere, FetchAnswer, FetchCall, Held, HeldPart, HoldAnswer, HoldCall,
+    HoldPart, Leased, Outcome, PartAnswer, Want,
 };
 
 /// Call of a carrier to a partition's head: [`SubmitCall`], answered by [`SubmitAnswer`].
--- a/crates/lots/src/wire/map.rs
+++ b/crates/lots/src/wire/map.rs
@@ -1,12 +1,14 @@
 //! Which stores keep what, and what stores, keepers and the stores of one chain tell each other.
 
-use super::{MAX_LIST, MAX_NAME, PARTITIONS, partition_of};
-use crate::codec::{bytes as bytes_of, list, put_address, put_bytes, put_list, put_text, socket_address, text};
+use super::{partition_of, MAX_LIST, MAX_NAME, PARTITIONS};
+use crate::codec::{
+    bytes as bytes_of, list, put_address, put_bytes, put_list, put_text, socket_address, text,
+};
 use binrw::binrw;
 use bytes::Bytes;
+use chain::{Status, View};
 use compact_str::CompactString;
 use std::net::SocketAddr;
-use chain::{Status, View};
 
 /// How a store stands in the map.
 #[binrw]
--- a/crates/lots/src/wire/work.rs
+++ b/crates/lots/src/wire/work.rs
@@ -1,7 +1,9 @@
 //! How carriers get items, say what they hold, and hand over what became of it.
 
-use super::{MAX_BODY, MAX_HELD, MAX_LIST, MAX_NAME, PARTITIONS, Item};
-use crate::codec::{bytes as bytes_of, list, put_address, put_bytes, put_list, put_text, socket_address, text};
+use super::{Item, MAX_BODY, MAX_HELD, MAX_LIST, MAX_NAME, PARTITIONS};
+use crate::codec::{
+    bytes as bytes_of, list, put_address, put_bytes, put_list, put_text, socket_address, text,
+};
 use binrw::binrw;
 use bytes::Bytes;
 use compact_str::CompactString;
--- a/crates/store/src/core.rs
+++ b/crates/store/src/core.rs
@@ -1,17 +1,17 @@
 //! The store without its sockets and its disk: what is told and called goes in, what is to be told and written comes
 //! out. Time is told by the caller, in milliseconds of a steady clock.
 
+mod calls;
+
 use crate::answer::Answer;
-use crate::fetches::{share, Fetch, Fetches};
+use crate::fetches::Fetches;
 use crate::part::{Act, Part, Turn};
 use bytes::Bytes;
 use chain::{Member, Ms, Msg, Recovered, Write};
 use compact_str::CompactString;
 use lots::wire::{
-    partition_of, Beat, BodyAnswer, BodyCall, ChainFrame, DoneAnswer, DoneCall, Elsewhere, EndAnswer,
-    EndCall, FetchAnswer, FetchCall, Grant, HeldPart, HoldAnswer, HoldCall, HoldPart, Message, PartAnswer,
-    PartStatus, ReadAnswer, ReadCall, StoreMap, SubmitAnswer, SubmitCall, WireError, BEAT, BEAT_EVERY_MS,
-    BODY, CHAIN, DONE, END, FETCH, GRANT, HOLD, PARTITIONS, READ, SUBMIT,
+    Beat, ChainFrame, FetchAnswer, Grant, Message, PartStatus, StoreMap, WireError, BEAT, BEAT_EVERY_MS,
+    CHAIN, GRANT, PARTITIONS,
 };
 use slog::{info, warn, Logger};
 use std::net::SocketAddr;
@@ -301,193 +301,6 @@
         }
     }
 
-    /// A frame that is to be answered.
-    pub fn called(&mut self, now: Ms, kind: u16, body: &Bytes, reply: R) -> Result<(), Odd> {
-        if self.closed {
-            // Dropped, the caller asks again elsewhere; only a lot is certainly not taken.
-            if kind == SUBMIT {
-                reply.answer(SubmitAnswer::Busy.encode());
-            }
-            return Ok(());
-        }
-        let turn = self.turn(now);
-        match kind {
-            SUBMIT => self.submit(turn, SubmitCall::decode(body)?, reply),
-            READ => self.read(turn, ReadCall::decode(body)?, reply),
-            BODY => self.body(turn, BodyCall::decode(body)?, reply),
-            END => self.end(turn, &EndCall::decode(body)?, reply),
-            FETCH => self.fetch(turn, FetchCall::decode(body)?, reply),
-            DONE => self.done(turn, DoneCall::decode(body)?, reply),
-            HOLD => self.hold(turn, &HoldCall::decode(body)?, reply),
-            _ => return Err(Odd::Kind),
-        }
-        Ok(())
-    }
-
-    /// Another store that the map names as the head (or tail) of a partition.
-    fn named(&self, partition: usize, head: bool) -> Option<SocketAddr> {
-        let view = self.map.as_ref()?.partitions.get(partition)?;
-        let member = if head { view.members.first() } else { view.members.last() };
-        member.map(|member| member.addr).filter(|addr| *addr != self.terms.addr)
-    }
-
-    fn head(&mut self, partition: usize) -> Option<&mut Part<R>> {
-        self.parts.get_mut(partition).and_then(Option::as_mut).filter(|part| part.is_head())
-    }
-
-    fn tail(&mut self, partition: usize) -> Option<&mut Part<R>> {
-        self.parts.get_mut(partition).and_then(Option::as_mut).filter(|part| part.is_tail())
-    }
-
-    fn submit(&mut self, turn: Turn, call: SubmitCall, reply: R) {
-        let partition = partition_of(&call.host);
-        let Some(part) = self.head(partition) else {
-            let answer =
-                self.named(partition, true).map_or(SubmitAnswer::Busy, |to| SubmitAnswer::Moved { to });
-            return reply.answer(answer.encode());
-        };
-        part.submit(turn, call, reply);
-        self.after(turn, partition);
-        self.serve(turn);
-    }
-
-    fn read(&mut self, turn: Turn, call: ReadCall, reply: R) {
-        let partition = partition_of(&call.host);
-        match self.tail(partition) {
-            Some(part) => part.read(turn, call, reply),
-            None => {
-                let answer =
-                    self.named(partition, false).map_or(ReadAnswer::Unsure, |to| ReadAnswer::Moved { to });
-                reply.answer(answer.encode());
-            }
-        }
-    }
-
-    fn body(&mut self, turn: Turn, call: BodyCall, reply: R) {
-        let partition = partition_of(&call.host);
-        match self.tail(partition) {
-            Some(part) => part.body(turn, call, reply),
-            None => {
-                let answer =
-                    self.named(partition, false).map_or(BodyAnswer::Unsure, |to| BodyAnswer::Moved { to });
-                reply.answer(answer.encode());
-            }
-        }
-    }
-
-    fn end(&mut self, turn: Turn, call: &EndCall, reply: R) {
-        let partition = partition_of(&call.host);
-        let Some(part) = self.head(partition) else {
-            let answer = self.named(partition, true).map_or(EndAnswer::Unsure, |to| EndAnswer::Moved { to });
-            return reply.answer(answer.encode());
-        };
-        part.end(turn, call, reply);
-        self.after(turn, partition);
-    }
-
-    fn done(&mut self, turn: Turn, call: DoneCall, reply: R) {
-        let partition = usize::from(call.partition);
-        let Some(part) = self.head(partition) else {
-            let answer =
-                self.named(partition, true).map_or(DoneAnswer::Unsure, |to| DoneAnswer::Moved { to });
-            return reply.answer(answer.encode());
-        };
-        let some_wait = part.done(turn, call.holder, call.results, reply);
-        self.after(turn, partition);
-        if some_wait {
-            self.serve(turn);
-        }
-    }
-
-    fn hold(&mut self, turn: Turn, call: &HoldCall, reply: R) {
-        let parts = call.parts.iter().map(|held| self.hold_part(turn, call.holder, held)).collect();
-        reply.answer(HoldAnswer { parts }.encode());
-        self.serve(turn);
-    }
-
-    fn hold_part(&mut self, turn: Turn, holder: u64, held: &HeldPart) -> HoldPart {
-        let partition = usize::from(held.partition);
-        let drop = self.head(partition).map(|part| part.hold(turn, holder, &held.held));
-        let answer = match drop {
-            Some(Some(drop)) => PartAnswer::Drop { drop },
-            Some(None) => PartAnswer::Unsure,
-            None => self.named(partition, true).map_or(PartAnswer::Unsure, |to| PartAnswer::Moved { to }),
-        };
-        HoldPart { partition: held.partition, answer }
-    }
-
-    fn fetch(&mut self, turn: Turn, call: FetchCall, reply: R) {
-        let fetch = Fetch { reply, call, until: 0 };
-        let Some(fetch) = self.try_fetch(turn, fetch, usize::MAX) else { return };
-        let elsewhere = self.elsewhere(&fetch.call);
-        if !elsewhere.is_empty() {
-            return fetch.reply.answer(FetchAnswer { items: Vec::new(), elsewhere }.encode());
-        }
-        if let Some(reply) = self.fetches.push(turn.now, fetch.call, fetch.reply) {
-            drop(reply);
-        }
-    }
-
-    /// Partitions among the wants that have another head.
-    fn elsewhere(&mut self, call: &FetchCall) -> Vec<Elsewhere> {
-        let mut elsewhere: Vec<Elsewhere> = Vec::new();
-        for want in &call.wants {
-            let partition = partition_of(&want.host);
-            let known = elsewhere.iter().any(|e| usize::from(e.partition) == partition);
-            if !known && self.head(partition).is_none() {
-                if let Some(to) = self.named(partition, true) {
-                    elsewhere.push(Elsewhere { partition: partition as u16, to });
-                }
-            }
-        }
-        elsewhere
-    }
-
-    /// Gives items to one that asks; given back if there are none.
-    fn try_fetch(&mut self, turn: Turn, fetch: Fetch<R>, most: usize) -> Option<Fetch<R>> {
-        let mut items = Vec::new();
-        let mut of: [Vec<_>; PARTITIONS] = Default::default();
-        for want in &fetch.call.wants {
-            if let Some(wants) = of.get_mut(partition_of(&want.host)) {
-                wants.push(want.clone());
-            }
-        }
-        for (wants, part) in of.iter().zip(self.parts.iter_mut()).filter(|(wants, _)| !wants.is_empty()) {
-            let Some((owner, lots)) = part.as_mut().and_then(|part| part.open(turn)) else { continue };
-            if owner.has_for(turn.now, wants) {
-                items.extend(owner.fetch(turn.now, lots, fetch.call.holder, wants, most));
-            }
-        }
-        if items.is_empty() {
-            return Some(fetch);
-        }
-        let elsewhere = self.elsewhere(&fetch.call);
-        fetch.reply.answer(FetchAnswer { items, elsewhere }.encode());
-        None
-    }
-
-    /// Gives items that have come to those who wait.
-    fn serve(&mut self, turn: Turn) {
-        if self.fetches.is_empty() {
-            return;
-        }
-        let mut waiting = 0;
-        for part in self.parts.iter_mut().flatten() {
-            waiting += part.open(turn).map_or(0, |(owner, _)| owner.waiting());
-        }
-        if waiting == 0 {
-            return;
-        }
-        let asking = self.fetches.len();
-        let most = share(waiting, asking);
-        for _ in 0..asking {
-            let Some(fetch) = self.fetches.pop() else { break };
-            if let Some(fetch) = self.try_fetch(turn, fetch, most) {
-                self.fetches.put_back(fetch);
-            }
-        }
-    }
-
     /// Time passes; to be called every 50 to 100 ms.
     pub fn tick(&mut self, now: Ms) {
         let turn = self.turn(now);
--- a/crates/store/src/part.rs
+++ b/crates/store/src/part.rs
@@ -1,14 +1,13 @@
 //! One partition at this store: its copy of the table, and what waits for the chain's word.
 
+mod calls;
+
 use crate::answer::Answer;
 use bytes::Bytes;
 use chain::{Member, Ms, Msg, Node, Out, Recovered, View, Write};
 use compact_str::CompactString;
-use lots::wire::{
-    BodyAnswer, BodyCall, Done, DoneAnswer, EndAnswer, EndCall, Held, Message, ReadAnswer, ReadCall,
-    SubmitAnswer, SubmitCall, MAX_READ_BYTES, MAX_WAIT_MS,
-};
-use lots::{End, Lots, Owner, Submit};
+use lots::wire::{BodyAnswer, BodyCall, DoneAnswer, EndAnswer, Message, ReadAnswer, ReadCall, SubmitAnswer};
+use lots::{Lots, Owner};
 use slog::{debug, info, Logger};
 use std::collections::VecDeque;
 use std::net::SocketAddr;
@@ -18,11 +17,6 @@
 const MOST_WAITING: usize = 4_096;
 /// So much may wait for its commit; the chain itself takes somewhat more, so its limit is never met.
 const MOST_UNCOMMITTED: usize = 3 << 20;
-/// Results are proposed in pieces of about so many bytes.
-const PIECE: usize = 512 << 10;
-/// A chain that was not whole for so long takes no lots: their clients find another store's partition no faster,
-/// but know at once that nothing was taken.
-const UNREADY_MS: Ms = 1_000;
 
 /// What the rest of the store tells a partition for one turn.
 #[derive(Clone, Copy)]
@@ -320,152 +314,6 @@
         self.uncommitted_bytes >= MOST_UNCOMMITTED || self.waits.len() >= MOST_WAITING
     }
 
-    /// A lot for the head.
-    pub fn submit(&mut self, turn: Turn, call: SubmitCall, reply: R) {
-        let unready = self.unready_since.is_some_and(|since| turn.now.saturating_sub(since) >= UNREADY_MS);
-        if unready || self.is_full() || !self.enough(turn) {
-            return reply.answer(SubmitAnswer::Busy.encode());
-        }
-        let Some(head) = self.head.as_mut() else { return reply.answer(SubmitAnswer::Busy.encode()) };
-        let lot = call.lot.clone();
-        match head.owner.submit(turn.now, self.node.machine(), call, turn.room) {
-            Submit::Answer(answer) => reply.answer(answer.encode()),
-            Submit::Known => self.wait(turn, Wait::Submit { reply, lot, fresh: false }),
-            Submit::Propose(command) => {
-                if self.propose(turn, vec![command]) {
-                    self.wait(turn, Wait::Submit { reply, lot, fresh: true });
-                } else {
-                    reply.answer(SubmitAnswer::Busy.encode());
-                }
-            }
-        }
-        self.settle(turn);
-    }
-
-    /// The end of a lot, for the head.
-    pub fn end(&mut self, turn: Turn, call: &EndCall, reply: R) {
-        let full = self.is_full();
-        let Some(head) = self.head.as_mut().filter(|_| !full) else {
-            return reply.answer(EndAnswer::Unsure.encode());
-        };
-        match head.owner.end(turn.now, self.node.machine(), &call.host, &call.lot) {
-            // Only the tail knows for certain that there is none: this head may have been left behind.
-            End::Unknown if turn.leased => reply.answer(EndAnswer::Unknown.encode()),
-            End::Unknown => reply.answer(EndAnswer::Unsure.encode()),
-            End::Known => self.wait(turn, Wait::End { reply }),
-            End::Propose(command) => {
-                if self.propose(turn, vec![command]) {
-                    self.wait(turn, Wait::End { reply });
-                } else {
-                    reply.answer(EndAnswer::Unsure.encode());
-                }
-            }
-        }
-        self.settle(turn);
-    }
-
-    /// What became of items, for the head. True if some wait again.
-    pub fn done(&mut self, turn: Turn, holder: u64, results: Vec<Done>, reply: R) -> bool {
-        let mut results = results.into_iter().peekable();
-        let mut taken = true;
-        while taken && results.peek().is_some() {
-            let full = self.is_full();
-            let Some(head) = self.head.as_mut().filter(|_| !full) else {
-                taken = false;
-                break;
-            };
-            let mut piece = Vec::new();
-            let mut bytes = 0;
-            while bytes < PIECE {
-                let Some(done) = results.next() else { break };
-                bytes += 64 + done.lot.len();
-                if let lots::wire::Outcome::Complete { text } = &done.outcome {
-                    bytes += text.len();
-                }
-                piece.push(done);
-            }
-            let commands = head.owner.done(turn.now, holder, piece);
-            taken = self.propose(turn, commands);
-        }
-        if taken {
-            self.wait(turn, Wait::Done { reply });
-        } else {
-            reply.answer(DoneAnswer::Unsure.encode());
-        }
-        self.settle(turn);
-        self.head.as_ref().is_some_and(|head| head.owner.waiting() > 0)
-    }
-
-    /// A read, for the tail.
-    pub fn read(&mut self, turn: Turn, call: ReadCall, reply: R) {
-        let until = turn.now + u64::from(call.wait_ms.min(MAX_WAIT_MS));
-        self.wait(turn, Wait::Read { reply, call, until });
-    }
-
-    fn read_now(&mut self, turn: Turn, reply: R, call: ReadCall, until: Ms) {
-        if !turn.leased {
-            return reply.answer(ReadAnswer::Unsure.encode());
-        }
-        let lots = self.node.machine();
-        let may_grow = turn.now < until && self.reads.len() < MOST_WAITING;
-        if may_grow && lots.listed(&call.host, &call.lot).is_some_and(|listed| listed <= call.start_after) {
-            let over = lots.lot(&call.lot).is_none_or(|lot| lot.over());
-            if !over {
-                self.reads.push(ParkedRead { reply, call, until });
-                return;
-            }
-        }
-        reply.answer(self.found(&call).encode());
-    }
-
-    fn found(&self, call: &ReadCall) -> ReadAnswer {
-        match self.node.machine().read(&call.host, &call.lot, call.start_after, MAX_READ_BYTES) {
-            Some(found) => ReadAnswer::Found { total: found.total, next: found.next, results: found.results },
-            None => ReadAnswer::Unknown,
-        }
-    }
-
-    /// Answers parked reads for which there is a result now, or whose time is over.
-    fn look_at_reads(&mut self, turn: Turn, time: bool) {
-        let mut at = 0;
-        while let Some(read) = self.reads.get(at) {
-            let call = &read.call;
-            let lots = self.node.machine();
-            let grown = lots.listed(&call.host, &call.lot).is_none_or(|listed| listed > call.start_after);
-            let over = time && turn.now >= read.until || lots.lot(&call.lot).is_none_or(|lot| lot.over());
-            if !grown && !over {
-                at += 1;
-                continue;
-            }
-            let read = self.reads.swap_remove(at);
-            // At a tail that is also the head the table may be ahead of the disk.
-            self.wait(turn, Wait::Read { reply: read.reply, call: read.call, until: 0 });
-        }
-    }
-
-    /// A call for a body, for the tail.
-    pub fn body(&mut self, turn: Turn, call: BodyCall, reply: R) {
-        self.wait(turn, Wait::Body { reply, call });
-    }
-
-    fn body_now(&self, turn: Turn, reply: R, call: &BodyCall) {
-        let answer = if !turn.leased {
-            BodyAnswer::Unsure
-        } else {
-            match self.node.machine().body(&call.host, &call.lot, &call.item) {
-                Some(body) => BodyAnswer::Found { body },
-                None => BodyAnswer::Unknown,
-            }
-        };
-        reply.answer(answer.encode());
-    }
-
-    /// What of its holdings a holder must drop; none if this store can't say.
-    pub fn hold(&mut self, turn: Turn, holder: u64, held: &[Held]) -> Option<Vec<Held>> {
-        let head = self.head.as_mut().filter(|_| turn.leased)?;
-        Some(head.owner.hold(turn.now, self.node.machine(), holder, held))
-    }
-
     /// The head's state with its table, once it may give out items.
     pub fn open(&mut self, turn: Turn) -> Option<(&mut Owner, &Lots)> {
         let committed = self.node.committed();
--- a/crates/store/tests/world/carrier.rs
+++ b/crates/store/tests/world/carrier.rs
@@ -362,7 +362,7 @@
             Some(SubmitAnswer::Busy) => {
                 world.sum.busy += 1;
                 // Some clients give up: then nothing of it may ever run.
-                if !found.unclear && now % 3 == 0 {
+                if !found.unclear && now.is_multiple_of(3) {
                     found.refused = true;
                 }
             }
