Acknowledge by the disks of the commit's own view; drop nobody on stale word

Change: stores and keepers go by committed_by(FaultBudget.Nodes + 1); both ask stays_on_fresh_word before a view that drops somebody.

--- a/crates/carrier/src/carrier.rs
+++ b/crates/carrier/src/carrier.rs
@@ -1,6 +1,7 @@
 //! What all parts of the process share.
 
 use crate::choice::Choosing;
+use crate::codes;
 use crate::control::Control;
 use crate::counts::Counts;
 use crate::items::Items;
@@ -163,7 +164,7 @@
     pub fn odd_answer(&self, what: &'static str, key: crate::choice::Key, head: &Parts) {
         self.seldom(what, |left_out| {
             let names: Vec<&str> = head.headers.keys().map(|name| name.as_str()).take(12).collect();
-            warn!(self.log, "{}", what; "code" => 2301, "runner" => self.choice.name(key).as_str(),
+            warn!(self.log, "{}", what; "code" => codes::ODD_ANSWER, "runner" => self.choice.name(key).as_str(),
                 "status" => head.status.as_u16(), "headers" => names.join(","), "left_out" => left_out);
         });
     }
--- /dev/null
+++ b/crates/carrier/src/codes.rs
@@ -0,0 +1,49 @@
+//! The numbered lines of the log that tell of something odd. The table also stands in the docs.
+
+/// A frame of an unknown kind came from another process.
+pub const UNKNOWN_FRAME: u16 = 2_101;
+/// A frame came that can't be read.
+pub const UNREADABLE_FRAME: u16 = 2_102;
+/// The fact of a runner can't be read.
+pub const UNREADABLE_RUNNER: u16 = 2_103;
+/// The map of the stores can't be read.
+pub const UNREADABLE_MAP: u16 = 2_104;
+/// A configuration was told under another number than its own.
+pub const OTHER_NUMBER: u16 = 2_105;
+/// A configuration that was told can't be read.
+pub const UNREADABLE_CONFIG: u16 = 2_106;
+/// The settings file could not be read again.
+pub const SETTINGS_KEPT: u16 = 2_201;
+/// The process ended while something was open.
+pub const ENDED_OPEN: u16 = 2_202;
+/// A runner's answer can't be passed on.
+pub const ODD_ANSWER: u16 = 2_301;
+
+/// All codes with their short names and what they mean.
+pub const CODES: &[(u16, &str, &str)] = &[
+    (
+        UNKNOWN_FRAME,
+        "unknown-frame",
+        "a frame of an unknown kind came from another process; it is passed over",
+    ),
+    (UNREADABLE_FRAME, "unreadable-frame", "a frame came that can't be read; it is passed over"),
+    (UNREADABLE_RUNNER, "unreadable-runner", "the fact of a runner can't be read; the runner is as before"),
+    (UNREADABLE_MAP, "unreadable-map", "the map of the stores can't be read; the one before holds"),
+    (
+        OTHER_NUMBER,
+        "other-number",
+        "a configuration was told under another number than its own; it is not used",
+    ),
+    (UNREADABLE_CONFIG, "unreadable-config", "a configuration that was told can't be read; it is not used"),
+    (
+        SETTINGS_KEPT,
+        "settings-kept",
+        "the settings file could not be read again; the settings stay as they were",
+    ),
+    (ENDED_OPEN, "ended-open", "the process ended at the end of its grace while something was open"),
+    (
+        ODD_ANSWER,
+        "odd-answer",
+        "a runner's answer can't be passed on: it is another request's, or has no stamp",
+    ),
+];
--- a/crates/carrier/src/control.rs
+++ b/crates/carrier/src/control.rs
@@ -1,6 +1,7 @@
 //! What the control plane tells this process, and what it tells on to those below it in the tree of relays.
 
 use crate::carrier::Carrier;
+use crate::codes;
 use bytes::Bytes;
 use compact_str::CompactString;
 use lots::wire::{Message, StoreMap};
@@ -92,7 +93,7 @@
         let carrier = &self.0;
         if kind != RELAY {
             return carrier.seldom("a frame of an unknown kind", |left_out| {
-                warn!(carrier.log, "a frame of an unknown kind"; "code" => 2101, "kind" => kind,
+                warn!(carrier.log, "a frame of an unknown kind"; "code" => codes::UNKNOWN_FRAME, "kind" => kind,
                     "from" => %from.addr, "left_out" => left_out);
             });
         }
@@ -103,7 +104,7 @@
                 settle(carrier, now);
             }
             Err(e) => carrier.seldom("a frame that can't be read", |left_out| {
-                warn!(carrier.log, "a frame that can't be read"; "code" => 2102, "why" => %e,
+                warn!(carrier.log, "a frame that can't be read"; "code" => codes::UNREADABLE_FRAME, "why" => %e,
                     "from" => %from.addr, "left_out" => left_out);
             }),
         }
@@ -268,7 +269,7 @@
             }
         }
         Err(e) => carrier.seldom("a runner that can't be read", |left_out| {
-            warn!(carrier.log, "a runner that can't be read"; "code" => 2103, "runner" => id, "why" => %e,
+            warn!(carrier.log, "a runner that can't be read"; "code" => codes::UNREADABLE_RUNNER, "runner" => id, "why" => %e,
                 "left_out" => left_out);
         }),
     }
@@ -283,7 +284,9 @@
             *carrier.map.borrow_mut() = Some(Rc::new(map));
             carrier.changed.notify_waiters();
         }
-        Err(e) => warn!(carrier.log, "a map that can't be read"; "code" => 2104, "why" => %e),
+        Err(e) => {
+            warn!(carrier.log, "a map that can't be read"; "code" => codes::UNREADABLE_MAP, "why" => %e)
+        }
     }
 }
 
@@ -296,10 +299,12 @@
             *carrier.control.next.borrow_mut() = Some(Rc::new(config));
         }
         Ok(config) => {
-            warn!(carrier.log, "a configuration under another number"; "code" => 2105, "gen" => config.gen,
+            warn!(carrier.log, "a configuration under another number"; "code" => codes::OTHER_NUMBER, "gen" => config.gen,
                 "stamp" => stamp.0);
         }
-        Err(e) => warn!(carrier.log, "a configuration that can't be read"; "code" => 2106, "why" => %e),
+        Err(e) => {
+            warn!(carrier.log, "a configuration that can't be read"; "code" => codes::UNREADABLE_CONFIG, "why" => %e)
+        }
     }
 }
 
--- a/crates/carrier/src/front.rs
+++ b/crates/carrier/src/front.rs
@@ -19,6 +19,9 @@
 /// When a client may come again where nothing is known of why: the control plane comes up, or memory is full.
 const AGAIN_MS: u64 = 250;
 
+/// A body that is copied out of what was read at once, which is 8 KiB and more.
+const SMALL: usize = 4 * 1024;
+
 /// Why a request gets a fixed answer and never reaches a runner.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
 pub enum Denied {
@@ -204,5 +207,10 @@
             more.extend_from_slice(&data);
         }
     }
-    Ok(if more.is_empty() { first } else { more.freeze() })
+    Ok(match () {
+        // A small one alone would hold all that was read with it for as long as its request is open.
+        () if more.is_empty() && first.len() <= SMALL => Bytes::copy_from_slice(&first),
+        () if more.is_empty() => first,
+        () => more.freeze(),
+    })
 }
--- a/crates/carrier/src/lib.rs
+++ b/crates/carrier/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod answer;
 pub mod carrier;
 pub mod choice;
+pub mod codes;
 pub mod control;
 pub mod counts;
 pub mod events;
--- a/crates/carrier/src/run.rs
+++ b/crates/carrier/src/run.rs
@@ -2,6 +2,7 @@
 
 use crate::carrier::{Carrier, Clock};
 use crate::choice::Choosing;
+use crate::codes;
 use crate::control::{self, Control, Hub};
 use crate::counts::{Counts, EVERY_MS};
 use crate::front::Front;
@@ -103,7 +104,7 @@
     let http = listen(settings.http.ok_or(StartError::Lacks("Bind.Http"))?)?;
     let readyz = listen(settings.readyz.ok_or(StartError::Lacks("Bind.Readyz"))?)?;
     let peers = listen(me)?;
-    info!(log, "started"; "node" => settings.node.as_str(), "zone" => settings.zone.as_str(), "peer" => %me);
+    info!(log, "started"; "zone" => settings.zone.as_str(), "peer" => %me);
     let process = Process::new(settings, log, me, drawn());
     process.carrier.reads_settings.set(true);
     process.serve(http, readyz, peers);
@@ -203,7 +204,7 @@
         }
         let left = carrier.connections.open();
         if left > 0 || !carrier.items.is_empty() {
-            warn!(carrier.log, "ending with something open"; "connections" => left, "items" => carrier.items.len());
+            warn!(carrier.log, "ending with something open"; "code" => codes::ENDED_OPEN, "connections" => left, "items" => carrier.items.len());
         }
         let _ = carrier.links.flush(Duration::from_millis(100)).await;
         info!(carrier.log, "ended"; "after_ms" => carrier.clock.now().saturating_sub(began));
@@ -223,7 +224,7 @@
             info!(carrier.log, "settings read again");
         }
         Err(e) => carrier.seldom("the settings stay as they were", |left_out| {
-            error!(carrier.log, "the settings stay as they were"; "why" => %e, "left_out" => left_out);
+            error!(carrier.log, "the settings stay as they were"; "code" => codes::SETTINGS_KEPT, "why" => %e, "left_out" => left_out);
         }),
     }
 }
--- a/crates/carrier/tests/limits.rs
+++ b/crates/carrier/tests/limits.rs
@@ -82,13 +82,30 @@
 
 #[test]
 fn without_a_configuration_clients_are_told_to_come_again() {
-    run(async {
+    run_paused(async {
         let rig = Rig::bare(SETTINGS).await;
         let said = rig.ask(&request("/plain/", "a", "", "x")).await;
         assert!(said.starts_with("HTTP/1.1 503 ") && header(&said, "retry-after").is_some(), "{said}");
     });
 }
 
+#[test]
+fn what_comes_before_the_first_configuration_waits_for_it() {
+    run(async {
+        let runner = StandIn::new("i-1", |_, _| vec![done("ok")]).await;
+        let rig = Rc::new(Rig::bare(SETTINGS).await);
+        rig.tell(&runner.runner("s", RunnerState::Up));
+        let asking = rig.clone();
+        let answer =
+            tokio::task::spawn_local(async move { asking.ask(&request("/plain/", "a", "", "x")).await });
+        while rig.process.carrier.connections.open() == 0 {
+            tokio::task::yield_now().await;
+        }
+        rig.configure(CONFIG);
+        assert!(answer.await.unwrap().ends_with("ok"));
+    });
+}
+
 /// A request that waits for a runner goes by the configuration of the moment at which it is sent.
 #[test]
 fn a_held_request_goes_where_the_newest_configuration_says() {
--- a/crates/disk-ring/tests/crashes.rs
+++ b/crates/disk-ring/tests/crashes.rs
@@ -190,18 +190,42 @@
                 same += 1;
                 assert!(!found.fresh, "seed {seed}");
                 // Only the records of the last write have no witness that they were on disk.
-                let from = found.records.first().map(|(first, _)| *first);
-                let from =
-                    from.and_then(|first| model.appended.iter().position(|(ticket, _)| *ticket == first));
-                let known = from.map(|from| &model.appended[from..]).unwrap_or_default();
+                let owed = model.appended.iter().filter(|(t, _)| (model.low..=model.witnessed).contains(t));
+                for (ticket, record) in owed {
+                    let back = found.records.iter().find(|(back, _)| back == ticket);
+                    assert_eq!(back.map(|(_, back)| back), Some(record), "seed {seed}: ticket {ticket}");
+                }
+                // And nothing else comes back than one piece of what was appended.
+                let first = found.records.first().map_or(0, |(first, _)| *first);
+                let from = model.appended.iter().position(|(ticket, _)| *ticket >= first).unwrap_or(0);
+                let known = &model.appended[from..];
                 assert_eq!(found.records, known[..found.records.len()], "seed {seed}");
-                let left_out = known[found.records.len()..].first();
-                assert!(
-                    left_out.is_none_or(|(ticket, _)| *ticket > model.witnessed),
-                    "seed {seed}: {left_out:?}"
-                );
             }
         }
     }
     assert!(told > SEEDS / 6 && same > SEEDS / 6, "{told} told, {same} the same");
 }
+
+/// A write whose beginning was lost: what is left of it must not come back once the log has grown up to it again.
+#[test]
+fn what_was_cut_off_stays_cut_off() {
+    let disk = MemoryDisk::default();
+    let mut ring: Ring = prepare(disk.clone(), OPTIONS, 1).unwrap();
+    ring.ring.append(record(0, 8)).unwrap();
+    ring.writer.step();
+    let end = 64 + 48 + 56;
+    for number in 1..4 {
+        // As long as the record that the next start writes.
+        ring.ring.append(record(number, 0)).unwrap();
+    }
+    // Two operations: the write, and a sync that doesn't come to its end.
+    disk.power_goes_after(1);
+    assert!(!ring.writer.step());
+    disk.change(0, |bytes| bytes[end..end + 48].fill(0));
+    let disk = disk.after_kill();
+    for start in 0..3 {
+        let ring: Ring = prepare(disk.clone(), OPTIONS, 1).unwrap();
+        assert_eq!(ring.records, [(2, record(0, 8))], "start {start}");
+        assert_eq!(ring.torn, start == 0, "start {start}");
+    }
+}
--- a/crates/disk-ring/tests/threads.rs
+++ b/crates/disk-ring/tests/threads.rs
@@ -138,3 +138,26 @@
         1000,
     );
 }
+
+/// An append gets to the disk by itself, also after a release, which wakes nobody.
+#[test]
+fn appends_wake_the_thread() {
+    let append_and_wait = || {
+        let disk = MemoryDisk::default();
+        let Prepared { ring, writer, .. } = prepare::<_, Played<Shared>>(disk, OPTIONS, 1).unwrap();
+        let writer = shuttle::thread::spawn(move || writer.run());
+        let synced = ring.synced();
+        for number in 0..3 {
+            let ticket = ring.append(record(number, 9)).unwrap();
+            // Fails by the number of its steps if this never happens.
+            while *synced.borrow() < ticket {
+                shuttle::thread::yield_now();
+            }
+            ring.release_before(ticket);
+        }
+        ring.close();
+        writer.join().unwrap();
+        assert!(synced.has_changed().is_err(), "the thread is gone");
+    };
+    shuttle::check_random(append_and_wait, 1000);
+}
--- a/crates/dispatcher-ring/tests/ring.rs
+++ b/crates/dispatcher-ring/tests/ring.rs
@@ -61,7 +61,6 @@
 
 #[test]
 fn with_a_fifth_of_all_messages_lost_a_killed_one_is_still_found() {
-    let mut late = 0;
     for seed in 0..100 {
         let mut world = World::new(500 + seed, 12, 3);
         world.loss = 200;
@@ -72,10 +71,8 @@
         while world.verdicts.is_empty() && world.now - killed < 10_000 {
             world.step();
         }
-        assert!(world.now - killed <= 4_500, "seed {seed}: {} ms", world.now - killed);
-        late += usize::from(world.now - killed > 3_000);
+        assert!(world.now - killed <= 3_000, "seed {seed}: {} ms", world.now - killed);
     }
-    assert!(late <= 10, "{late} of 100 later than 3 s");
 }
 
 #[test]
--- a/crates/keeper/src/owner/repair.rs
+++ b/crates/keeper/src/owner/repair.rs
@@ -33,8 +33,13 @@
     /// Whether what is put in here is acknowledged by enough disks.
     pub(super) fn can_commit(&self) -> bool {
         let members = self.node.view().map_or(0, |v| v.members.len());
+        self.node.is_head() && self.node.ready() && members >= self.least()
+    }
+
+    /// So many disks must hold what is acknowledged: one more than may be lost, or all where the tier has fewer.
+    pub(super) fn least(&self) -> usize {
         let founders = self.agreement.current().map_or(1, |v| v.acceptors.len());
-        self.node.is_head() && self.node.ready() && members >= self.lengths().least.min(founders)
+        self.lengths().least.min(founders)
     }
 
     pub(super) fn touches_others(&self, now: Ms) -> bool {
@@ -142,6 +147,10 @@
             self.wanted_since = None;
             return;
         };
+        let silent_for = |m: &Member| if m.addr == self.me.addr { 0 } else { dead_for(m) };
+        if !chain::stays_on_fresh_word(&current.view, &next.view, &silent_for) {
+            return;
+        }
         let number = next.view.number;
         let since = match self.wanted_since {
             Some((n, since)) if n == number => since,
--- a/crates/keeper/src/owner/spread.rs
+++ b/crates/keeper/src/owner/spread.rs
@@ -16,7 +16,7 @@
 impl Owner {
     /// What is on all disks of the chain is told to all, by the head.
     pub(super) fn committed(&mut self, now: Ms) {
-        if self.node.committed() < self.node.received() && self.node.is_head() {
+        if self.node.committed_by(self.least()) < self.node.received() && self.node.is_head() {
             // What is ordered and not yet kept stays untold; the table already holds it.
             return;
         }
--- a/crates/keeper/src/plan.rs
+++ b/crates/keeper/src/plan.rs
@@ -85,7 +85,13 @@
         self.list(&mut next);
         for (partition, view) in current.partitions.iter().enumerate() {
             let seen = self.seen(now, &next, partition, view);
-            if let Some(view) = chain::next_view(view, &seen, lengths.wanted, lengths.least) {
+            let silent_for = |m: &Member| {
+                let heard = self.by_addr.get(&m.addr).filter(|h| h.beat.id == m.id);
+                heard.map_or(now, |h| now.saturating_sub(h.at))
+            };
+            let wanted = chain::next_view(view, &seen, lengths.wanted, lengths.least);
+            // Where a store is dropped, all that stay must have been heard of late.
+            if let Some(view) = wanted.filter(|next| chain::stays_on_fresh_word(view, next, &silent_for)) {
                 if let Some(place) = next.partitions.get_mut(partition) {
                     *place = view;
                 }
--- a/crates/store/src/part.rs
+++ b/crates/store/src/part.rs
@@ -249,15 +249,16 @@
             }
         }
         while self.waits.front().is_some_and(|(number, _)| *number <= committed) {
-            if let Some((_, wait)) = self.waits.pop_front() {
-                self.release_one(turn, wait);
+            if let Some((number, wait)) = self.waits.pop_front() {
+                self.release_one(turn, number, wait);
             }
         }
         self.look_at_reads(turn, false);
     }
 
-    fn release_one(&mut self, turn: Turn, wait: Wait<R>) {
-        let enough = self.enough(turn);
+    fn release_one(&mut self, turn: Turn, number: u64, wait: Wait<R>) {
+        // The length of the view of the commit counts: one of a shorter view before may be told only now.
+        let enough = number <= self.node.committed_by(turn.least);
         match wait {
             Wait::Submit { reply, lot, fresh } => {
                 if let (true, Some(head)) = (fresh, self.head.as_mut()) {
@@ -288,7 +289,7 @@
     fn wait(&mut self, turn: Turn, wait: Wait<R>) {
         let number = self.node.received();
         if number <= self.node.committed() {
-            self.release_one(turn, wait);
+            self.release_one(turn, number, wait);
         } else if self.waits.len() >= MOST_WAITING {
             unsure(wait);
         } else {
--- a/crates/store/tests/store.rs
+++ b/crates/store/tests/store.rs
@@ -47,9 +47,13 @@
 
 impl One {
     fn new(least: usize) -> One {
+        One::with_id(1, least)
+    }
+
+    fn with_id(id: u8, least: usize) -> One {
         let terms = Terms {
-            addr: addr(1),
-            id: 1,
+            addr: addr(id),
+            id: id.into(),
             node: "s-1".into(),
             zone: "z".into(),
             poll_ms: 120_000,
@@ -362,6 +366,51 @@
     assert_eq!(waits.take(), Some(SubmitAnswer::Unsure));
 }
 
+/// Carries what the two say to each other, until they say nothing more.
+fn talk(now: u64, one: &mut One, two: &mut One) {
+    loop {
+        let (to_two, to_one) = (std::mem::take(&mut one.told), std::mem::take(&mut two.told));
+        let chain = |told: Vec<(SocketAddr, u16, Bytes)>, to: SocketAddr| {
+            told.into_iter().filter(move |t| t.0 == to && t.1 == CHAIN).map(|t| t.2).collect::<Vec<_>>()
+        };
+        let (to_two, to_one) = (chain(to_two, addr(2)), chain(to_one, addr(1)));
+        if to_two.is_empty() && to_one.is_empty() {
+            return;
+        }
+        for body in to_two {
+            two.store.told(now, addr(1), CHAIN, &body).unwrap();
+        }
+        for body in to_one {
+            one.store.told(now, addr(2), CHAIN, &body).unwrap();
+        }
+        one.act(now);
+        two.act(now);
+    }
+}
+
+#[test]
+fn a_new_head_gives_out_nothing_that_may_still_be_lost() {
+    let (mut one, mut two) = (One::new(1), One::with_id(2, 1));
+    for store in [&mut one, &mut two] {
+        store.map(5_000, 1, &[2, 1, 3], &[]);
+    }
+    talk(5_000, &mut one, &mut two);
+    let said = two.call(5_010, SUBMIT, &submit("a", 1));
+    talk(5_010, &mut one, &mut two);
+    assert_eq!(said.take::<SubmitAnswer>(), None, "the third says nothing");
+    one.map(6_000, 2, &[1, 3], &[]);
+    assert!(one.store.held().all(|(_, node)| node.is_head() && node.active()));
+    assert!(one.store.held().any(|(_, node)| node.received() == 1 && node.committed() == 0));
+    one.grant(7_000, 7_000, 2);
+    let fetched = one.call(7_000, FETCH, &fetch(1, 1_000));
+    one.tick(7_100);
+    assert_eq!(fetched.take::<FetchAnswer>(), None);
+    one.map(7_200, 3, &[1], &[]);
+    one.grant(7_200, 7_200, 3);
+    one.tick(7_300);
+    assert_eq!(fetched.take::<FetchAnswer>().unwrap().items.len(), 1);
+}
+
 #[test]
 fn a_partition_that_is_left_is_void() {
     let mut one = One::alone(10_000);
--- a/crates/view/src/next.rs
+++ b/crates/view/src/next.rs
@@ -1,6 +1,6 @@
 //! The rule by which the next view of the keepers follows from what is seen of the machines. Pure.
 
-use chain::{next_view, stays_on_fresh_word, Member, Ms, Seen};
+use chain::{next_view, Member, Ms, Seen};
 
 use crate::wire::KeeperView;
 
@@ -16,17 +16,16 @@
 /// one that is being retired, by a spare at once; one that has been dead for [`DEAD_FOR_MS`], by a spare. The number
 /// of acceptors stays as it was founded; an even number grows by one where a spare is there.
 ///
-/// `silent_for_ms` is how long ago a machine was there for certain (see [`chain::stays_on_fresh_word`]), 0 for oneself.
+/// The owner proposes what comes of it only if [`chain::stays_on_fresh_word`] agrees.
 pub fn next_keeper_view(
     current: &KeeperView,
     seen: &[Seen],
     wanted_len: usize,
     least_len: usize,
-    silent_for_ms: &dyn Fn(&Member) -> Ms,
+    dead_for_ms: &dyn Fn(&Member) -> Ms,
 ) -> Option<KeeperView> {
-    let chain = next_view(&current.view, seen, wanted_len, least_len)
-        .filter(|next| stays_on_fresh_word(&current.view, next, silent_for_ms));
-    let acceptors = next_acceptors(current, seen, silent_for_ms);
+    let chain = next_view(&current.view, seen, wanted_len, least_len);
+    let acceptors = next_acceptors(current, seen, dead_for_ms);
     if chain.is_none() && acceptors.is_none() {
         return None;
     }
@@ -38,7 +37,7 @@
 fn next_acceptors(
     current: &KeeperView,
     seen: &[Seen],
-    silent_for_ms: &dyn Fn(&Member) -> Ms,
+    dead_for_ms: &dyn Fn(&Member) -> Ms,
 ) -> Option<Vec<Member>> {
     let since = current.number() + 1;
     let with = |at: usize, seen: &Seen| {
@@ -59,7 +58,7 @@
     let gone = |a: &Member| match sees(a) {
         Some(s) if s.unwanted => true,
         Some(s) if s.alive => false,
-        _ => silent_for_ms(a) > DEAD_FOR_MS,
+        _ => dead_for_ms(a) > DEAD_FOR_MS,
     };
     let at = current.acceptors.iter().position(gone);
     if at.is_none() && current.acceptors.len() % 2 == 1 {
--- a/crates/view/tests/next_keeper.rs
+++ b/crates/view/tests/next_keeper.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 
-use chain::{Member, Ms, Seen, Status, View, FRESH_MS};
+use chain::{stays_on_fresh_word, Member, Ms, Seen, Status, View, FRESH_MS};
 use view::{next_keeper_view, KeeperView, DEAD_FOR_MS};
 
 fn member(id: u64, place: u8) -> Member {
@@ -106,14 +106,12 @@
 
 #[test]
 fn nobody_is_dropped_while_another_may_be_going_too() {
-    let mut all = vec![seen(0, 1), seen(0, 2), seen(0, 3)];
-    all[0].alive = false;
-    let silent = |ms: Ms| move |m: &Member| if m.addr == all_addr(2) { ms } else { 100 };
-    assert_eq!(told(next_keeper_view(&current(), &all, 3, 2, &silent(FRESH_MS + 1))), "none");
-    let next = next_keeper_view(&current(), &all, 3, 2, &silent(FRESH_MS));
-    assert_eq!(told(next), "5: 2#0 3#0 joining [] acceptors 1#0 2#0 3#0");
-}
-
-fn all_addr(place: u8) -> SocketAddr {
-    member(0, place).addr
+    let now = current().view;
+    let next = View { number: 5, members: now.members[1..].to_vec(), joining: Vec::new() };
+    let silent = |ms: Ms| move |m: &Member| if m.addr == member(0, 2).addr { ms } else { 100 };
+    assert!(!stays_on_fresh_word(&now, &next, &silent(FRESH_MS + 1)));
+    assert!(stays_on_fresh_word(&now, &next, &silent(FRESH_MS)));
+    // Where nobody is dropped and the head stays, nothing has to be fresh.
+    let next = View { number: 5, joining: vec![member(9, 4)], ..now.clone() };
+    assert!(stays_on_fresh_word(&now, &next, &silent(10_000)));
 }
--- a/crates/view/tests/support/keeper.rs
+++ b/crates/view/tests/support/keeper.rs
@@ -4,7 +4,7 @@
 use std::net::SocketAddr;
 
 use bytes::Bytes;
-use chain::{Member, Ms, Node, Seen, Status, Write};
+use chain::{stays_on_fresh_word, Member, Ms, Node, Seen, Status, Write};
 use view::{next_keeper_view, Agreement, KeeperView};
 
 use super::checker::{Checker, History};
@@ -334,7 +334,9 @@
             Some(h) if h.id == m.id => now.saturating_sub(h.at.max(self.started_at)),
             _ => now.saturating_sub(self.started_at),
         };
-        let Some(next) = next_keeper_view(&current, &seen, WANTED, LEAST, &silent_for) else {
+        let next = next_keeper_view(&current, &seen, WANTED, LEAST, &silent_for);
+        let fresh = |next: &KeeperView| stays_on_fresh_word(&current.view, &next.view, &silent_for);
+        let Some(next) = next.filter(fresh) else {
             self.need_since = None;
             return;
         };
