--- a/crates/carrier/src/items.rs
+++ b/crates/carrier/src/items.rs
@@ -117,6 +117,16 @@
         release(carrier, over);
         return;
     }
+    fetch_more(carrier, now);
+}
+
+/// Asks the stores for items where there is room: at every tick, and at once when an item leaves room for the next.
+/// With ticks alone a process would begin no more in one than it may have unread at a time, however soon these are read.
+fn fetch_more(carrier: &Rc<Carrier>, now: u64) {
+    let items = &carrier.items;
+    if carrier.stopping() {
+        return;
+    }
     let (Some(config), Some(map)) = (carrier.config(), carrier.map()) else { return };
     for (head, _) in wants(carrier, &config, &map, now) {
         if items.fetching.borrow_mut().insert(head) {
@@ -235,7 +245,7 @@
                 source.events = Events::default();
             }
         }
-        let end = collect(&mut source, &mut text, &mut any).await;
+        let end = collect(carrier, &mut source, &mut text, &mut any).await;
         if end == End::Whole && shows_its_end(&source.begun.head.headers) && text.len() <= LONGEST_TEXT {
             add_data(&mut text, &mut any, &source.events.rest());
             let Source { begun, .. } = source;
@@ -253,12 +263,13 @@
 }
 
 /// Adds what a runner sends to a text.
-async fn collect(source: &mut Source, text: &mut Vec<u8>, any: &mut bool) -> End {
+async fn collect(carrier: &Rc<Carrier>, source: &mut Source, text: &mut Vec<u8>, any: &mut bool) -> End {
     match source.first(true).await {
         Ok(whole) => add_data(text, any, &whole),
         Err(end) => return end,
     }
     source.begun.sending.first_token();
+    fetch_more(carrier, carrier.clock.now());
     let mut timer = pin!(sleep_until(source.heard));
     loop {
         match source.next(&mut timer).await {
--- a/crates/carrier/tests/items.rs
+++ b/crates/carrier/tests/items.rs
@@ -112,6 +112,35 @@
     });
 }
 
+/// An item that was begun leaves room for the next at once: no tick of the clock is waited for.
+#[test]
+fn the_next_item_is_fetched_as_soon_as_one_has_begun() {
+    run_paused(async {
+        let Act::Write(head) = stream_head() else { panic!("a head is written") };
+        // A runner that doesn't say what room it has gets one item only.
+        let head = head.replacen("\r\n", "\r\nFordrelay-Runner-Load: 0,0,20\r\n", 1);
+        let script =
+            move |_: &Seen, _: usize| vec![write(head.clone()), event(1), Act::Hang(Rc::new(Notify::new()))];
+        let runner = StandIn::new("i-1", script).await;
+        let store = store((0..6).map(leased).collect(), none).await;
+        let rig = rig(&store, &[&runner]).await;
+        while runner.count() == 0 {
+            tokio::time::advance(std::time::Duration::from_millis(10)).await;
+            tokio::task::yield_now().await;
+        }
+        // The clock stands still while there is something to be done, as there always is here.
+        let began = rig.process.carrier.clock.now();
+        for _ in 0..1_000_000 {
+            if runner.count() == 6 {
+                break;
+            }
+            tokio::task::yield_now().await;
+        }
+        assert_eq!(runner.count(), 6);
+        assert!(rig.process.carrier.clock.now() < began + 100);
+    });
+}
+
 #[test]
 fn an_item_that_breaks_off_goes_on_where_it_was() {
     run(async {
--- a/crates/keeper/src/beats.rs
+++ b/crates/keeper/src/beats.rs
@@ -12,6 +12,9 @@
 pub const EVERY: Ms = 200;
 /// A keeper silent for so long is out of touch. Shorter than the second after which callers of `ctl` go elsewhere.
 pub const SILENT: Ms = 900;
+/// One that has come into touch says whom it hears, and the others say that they hear it, within so long: a beat of each
+/// and its way. Before that, it is judged by what is heard of it alone.
+const SETTLED: Ms = 3 * EVERY;
 /// Keepers known at most: those of 26 zones several times over.
 const MOST: usize = 256;
 /// Those silent for so long are forgotten, unless the view names them.
@@ -83,6 +86,8 @@
 #[derive(Debug, Clone)]
 struct Other {
     heard: Ms,
+    /// Since when it has been heard without a gap.
+    since: Ms,
     beat: KeeperBeat,
 }
 
@@ -95,9 +100,11 @@
 impl Keepers {
     /// A beat has come. Tells whether it is the first one of that life.
     pub fn heard(&mut self, now: Ms, from: SocketAddr, beat: KeeperBeat) -> bool {
-        let known = self.others.get(&from).is_some_and(|o| o.beat.life == beat.life);
+        let before = self.others.get(&from);
+        let known = before.is_some_and(|o| o.beat.life == beat.life);
+        let stayed = before.filter(|o| known && now.saturating_sub(o.heard) < SILENT).map(|o| o.since);
         if known || self.others.len() < MOST {
-            self.others.insert(from, Other { heard: now, beat });
+            self.others.insert(from, Other { heard: now, since: stayed.unwrap_or(now), beat });
         }
         !known
     }
@@ -155,11 +162,21 @@
             let to = Address::from(to);
             self.others.get(&from).is_some_and(|o| o.beat.hears.contains(&to))
         };
+        let settled = |addr: SocketAddr| {
+            addr == me || self.others.get(&addr).is_some_and(|o| now.saturating_sub(o.since) >= SETTLED)
+        };
         let mut alive: Vec<SocketAddr> = Vec::new();
         let mut seen = Vec::new();
         // The one that looks is in touch with itself; who is not in touch with it both ways can't be judged by it.
         for addr in addrs {
-            let touches = |b: SocketAddr| hears(addr, b) && hears(b, addr);
+            let touches = |b: SocketAddr| {
+                if settled(addr) && settled(b) {
+                    hears(addr, b) && hears(b, addr)
+                } else {
+                    // What they say of each other may be from before one of them came back.
+                    b != me || hears(me, addr)
+                }
+            };
             let up = addr == me || (touches(me) && alive.iter().filter(|a| **a != me).all(|a| touches(*a)));
             if up {
                 alive.push(addr);
--- a/crates/keeper/src/dispatchers.rs
+++ b/crates/keeper/src/dispatchers.rs
@@ -62,7 +62,9 @@
                 }
                 return false;
             }
-            if heard.stamp.is_none() || newest.is_none() {
+            // Another keeper that heard it before says that it is gone; it has only come over to this one.
+            let gone = board.get(&key).is_some_and(|f| f.value.is_none());
+            if heard.stamp.is_none() || newest.is_none() || gone {
                 let stamp = Stamp(unix.max(newest.map_or(0, |s| s.0 + 1)), 0);
                 heard.stamp = Some(stamp);
                 facts.push((key, stamp, Some(heard.told.encode())));
--- a/crates/keeper/src/owner.rs
+++ b/crates/keeper/src/owner.rs
@@ -98,13 +98,16 @@
     pub(crate) beaten: Ms,
     pub(crate) head_since: Option<Ms>,
     pub(crate) spreading: Option<(u64, Ms)>,
-    pub(crate) wanted_since: Option<(u64, Ms)>,
+    /// The view that should be next, and since when it is that one.
+    pub(crate) wanted: Option<(KeeperView, Ms)>,
     pub(crate) proposed: Ms,
     pub(crate) asked: Ms,
     pub(crate) touched_since: Option<Ms>,
     pub(crate) told_keepers: (u64, Vec<SocketAddr>),
     pub(crate) leaving: bool,
     pub(crate) map: Option<StoreMap>,
+    /// Stores that get no lease, as of then: a map without them waits until those that they have run out.
+    pub(crate) withheld: (Vec<SocketAddr>, Ms),
     pub(crate) room: (u64, u64),
 }
 
@@ -139,13 +142,14 @@
             beaten: 0,
             head_since: None,
             spreading: None,
-            wanted_since: None,
+            wanted: None,
             proposed: 0,
             asked: 0,
             touched_since: None,
             told_keepers: (0, Vec::new()),
             leaving: false,
             map: None,
+            withheld: (Vec::new(), 0),
             room: (0, 0),
             log,
             settings,
@@ -289,7 +293,11 @@
                     chain::Out::Send { to, msg } => self.tell(to, CHAIN, msg.encode()),
                     chain::Out::Write { ticket, write } => self.write(Told::Chain(ticket), write.encode()),
                     chain::Out::Committed { .. } => self.committed(now),
-                    chain::Out::Reset => info!(self.log, "control state taken over"),
+                    chain::Out::Reset => {
+                        info!(self.log, "control state taken over");
+                        // What was read from the state before may never have been kept.
+                        self.map = None;
+                    }
                 }
             }
             for (to, msg) in self.board.take() {
--- a/crates/keeper/src/owner/calls.rs
+++ b/crates/keeper/src/owner/calls.rs
@@ -138,15 +138,17 @@
                 return Some(Answer::refused(400, 1320, &e.to_string()));
             }
         };
-        let Some(fact) = taken.publish else { return Some(Answer::ok()) };
-        info!(self.log, "runner told"; "runner" => id, "draining" => taken.draining);
-        let (key, stamp) = (fact.key.to_string(), fact.stamp);
-        self.board.set(now, &fact.key, stamp, fact.value);
+        if let Some(fact) = taken.publish {
+            info!(self.log, "runner told"; "runner" => id, "draining" => taken.draining);
+            self.board.set(now, &fact.key, fact.stamp, fact.value);
+        }
+        // Said again, it waits again: the first time may have found nobody who knows it too.
         if taken.draining && self.pending.len() < PENDING_MOST {
-            self.pending.push(Pending::Drain { key, stamp, call, since: now });
+            let key = runner_registry::key(id).to_string();
+            self.pending.push(Pending::Drain { key, stamp: taken.stamp, call, since: now });
             return None;
         }
-        Some(Answer::ok())
+        Some(if taken.draining { repaired() } else { Answer::ok() })
     }
 
     fn retire_begin(&mut self, now: Ms, node: &str, call: u64) -> Option<Answer> {
@@ -201,6 +203,15 @@
         }
     }
 
+    /// What the view before was sure of is not known of the next one.
+    pub(super) fn unsure(&mut self) {
+        for pending in &mut self.pending {
+            if let Pending::Get { sure, since, .. } = pending {
+                (*sure, *since) = (false, 0);
+            }
+        }
+    }
+
     /// Answers those for whom what they wait for has become true, or too late.
     pub(super) fn answer(&mut self, now: Ms) {
         if self.pending.is_empty() {
@@ -246,7 +257,7 @@
                 over.then(|| Answer::refused(503, 1312, "out of touch with the other keepers"))
             }
             Pending::Drain { key, stamp, since, .. } => {
-                let lone = self.agreement.current().is_none_or(|v| v.acceptors.len() < 2);
+                let lone = self.agreement.current().is_some_and(|v| v.acceptors.len() < 2);
                 if lone || self.board.confirmed(key, *stamp).peers_confirmed > 0 {
                     return Some(Answer::ok());
                 }
--- a/crates/keeper/src/owner/duty.rs
+++ b/crates/keeper/src/owner/duty.rs
@@ -1,14 +1,18 @@
 //! The head's duty: the map of stores, and the leases of their tails.
 
-use super::{Owner, STALE};
+use super::{Owner, STALE, TICK};
 use crate::control::Command;
-use crate::plan::LEASE;
+use crate::plan::{self, LEASE};
 use chain::Ms;
 use lots::wire::Message as _;
 use lots::wire::{Grant, StoreMap, GRANT};
 use slog::info;
 use std::net::SocketAddr;
 
+/// What is to be ordered once leases have run out is looked at again with each tick; so long without that, it is not to
+/// be ordered any more.
+const WITHHELD: Ms = 3 * TICK;
+
 impl Owner {
     /// The map of stores: the head's duty.
     pub(super) fn plan(&mut self, now: Ms) {
@@ -29,8 +33,13 @@
                 now
             }
         };
+        self.tell_keepers(now);
         if let Some(next) = self.stores.plan(now, self.map.as_ref(), since, self.lengths()) {
-            if self.order_map(now, &next) {
+            let ends = self.map.as_ref().map(|map| plan::tails_lost(map, &next)).unwrap_or_default();
+            if self.stores.lent(now, &ends) {
+                // They may serve reads until their leases run out, and get no others until the map is ordered.
+                self.withheld = (ends, now);
+            } else if self.order_map(now, &next) {
                 info!(self.log, "map of stores ordered"; "map" => next.number, "stores" => next.stores.len());
             }
         }
@@ -47,11 +56,15 @@
 
     pub(super) fn grant(&mut self, now: Ms, store: SocketAddr, sent_ms: u64) {
         let age = self.agreement.last_majority(now).unwrap_or(Ms::MAX);
-        if !self.node.is_head() || age >= STALE {
+        let (ends, at) = &self.withheld;
+        let withheld = now < at + WITHHELD && ends.contains(&store);
+        if !self.node.is_head() || age >= STALE || withheld {
             return;
         }
         let lease_ms = LEASE.min(STALE - age);
-        let map = self.map.as_ref().map_or(0, |m| m.number);
+        self.stores.lend(store, now + lease_ms);
+        // The newest that is ordered, kept or not: a store that does not know it yet may be left out by it.
+        let map = self.node.machine().map_number;
         self.tell(store, GRANT, Grant { sent_ms, lease_ms, map }.encode());
     }
 }
--- a/crates/keeper/src/owner/repair.rs
+++ b/crates/keeper/src/owner/repair.rs
@@ -1,7 +1,7 @@
 //! The keepers' own view: who is there, and which chain and acceptors should be next.
 
 use super::{addresses, Owner, KEEPER_BEAT, STALE};
-use crate::beats::{zone_number, KeeperBeat, StatusFrame, EVERY};
+use crate::beats::{zone_number, KeeperBeat, StatusFrame, EVERY, SILENT};
 use crate::plan::Lengths;
 use chain::{Member, Ms, Seen};
 use slog::info;
@@ -15,7 +15,12 @@
 const PROPOSE_RANK: Ms = 250;
 /// A keeper proposes a view without those that it does not hear only once it has been in touch for so long: a whole silence
 /// and a beat.
-const JUDGES_AFTER: Ms = crate::beats::SILENT + EVERY;
+const JUDGES_AFTER: Ms = SILENT + EVERY;
+/// Whom only others do not hear is left out once that has been so for this long: a beat of each of them and its way. While
+/// one goes, they find out one after the other, and meanwhile do not agree on who it is.
+const SURE_AFTER: Ms = EVERY + EVERY / 2;
+/// A majority not heard for so long, two rounds of pings and more: whoever was not heard either may be there.
+const MISSED: Ms = 500;
 /// How often one that lacks the newest view asks for it.
 const ASK_EVERY: Ms = 300;
 
@@ -30,18 +35,18 @@
         self.agreement.last_majority(now).is_some_and(|age| age < STALE)
     }
 
-    /// Whether what is put in here is acknowledged by enough disks.
-    pub(super) fn can_commit(&self) -> bool {
-        let members = self.node.view().map_or(0, |v| v.members.len());
-        self.node.is_head() && self.node.ready() && members >= self.least()
-    }
-
     /// So many disks must hold what is acknowledged: one more than may be lost, or all where the tier has fewer.
     pub(super) fn least(&self) -> usize {
         let founders = self.agreement.current().map_or(1, |v| v.acceptors.len());
         self.lengths().least.min(founders)
     }
 
+    /// Whether what is put in here is acknowledged by enough disks.
+    pub(super) fn can_commit(&self) -> bool {
+        let members = self.node.view().map_or(0, |v| v.members.len());
+        self.node.is_head() && self.node.ready() && members >= self.least()
+    }
+
     pub(super) fn touches_others(&self, now: Ms) -> bool {
         // A keeper that is no acceptor has no majority of its own to hear; hearing one acceptor in touch will do.
         let Some(current) = self.agreement.current() else { return true };
@@ -113,8 +118,9 @@
     pub(super) fn repair(&mut self, now: Ms) {
         let Some(current) = self.agreement.current().cloned() else { return };
         let rank = current.acceptors.iter().position(|a| a.id == self.me.id && a.addr == self.me.addr);
-        let (Some(rank), true) = (rank, self.in_touch(now)) else {
-            self.wanted_since = None;
+        let age = self.agreement.last_majority(now).unwrap_or(Ms::MAX);
+        let (Some(rank), true) = (rank, age < MISSED) else {
+            self.wanted = None;
             self.touched_since = None;
             return;
         };
@@ -122,7 +128,9 @@
         if now < *self.touched_since.get_or_insert(now) + JUDGES_AFTER {
             return;
         }
-        let order: Vec<SocketAddr> = current.view.members.iter().map(|m| m.addr).collect();
+        // One that lost its disk is no member any more, and nobody is left out for not hearing it.
+        let there = |m: &&Member| m.addr == self.me.addr || self.keepers.id(m.addr) == Some(m.id);
+        let order: Vec<SocketAddr> = current.view.members.iter().filter(there).map(|m| m.addr).collect();
         let own = Seen {
             member: self.me.clone(),
             alive: true,
@@ -144,24 +152,31 @@
         let dead_for = |m: &Member| by_id(m.id, m.addr).unwrap_or(now);
         let next = view::next_keeper_view(&current, &seen, lengths.wanted, lengths.least, &dead_for);
         let Some(next) = next else {
-            self.wanted_since = None;
+            self.wanted = None;
             return;
         };
         let silent_for = |m: &Member| if m.addr == self.me.addr { 0 } else { dead_for(m) };
         if !chain::stays_on_fresh_word(&current.view, &next.view, &silent_for) {
             return;
         }
-        let number = next.view.number;
-        let since = match self.wanted_since {
-            Some((n, since)) if n == number => since,
+        let since = match &self.wanted {
+            Some((wanted, since)) if *wanted == next => *since,
             _ => {
-                self.wanted_since = Some((number, now));
+                self.wanted = Some((next.clone(), now));
                 now
             }
         };
-        if now >= since + PROPOSE_RANK * rank as Ms && now >= self.proposed + PROPOSE_EVERY {
+        // Silent ones, newcomers in place of old ones and those that leave are no matter of doubt.
+        let doubted = current.view.members.iter().any(|m| {
+            let stays = next.view.members.iter().any(|n| n.is(m));
+            let known = seen.iter().find(|s| s.member.is(m)).is_some_and(|s| !s.leaving);
+            let silent = self.keepers.silent(now, m.addr).is_none_or(|s| s >= SILENT);
+            !stays && known && !silent
+        });
+        let sure = if doubted { SURE_AFTER } else { 0 };
+        if now >= since + sure + PROPOSE_RANK * rank as Ms && now >= self.proposed + PROPOSE_EVERY {
             self.proposed = now;
-            info!(self.log, "view proposed"; "view" => number, "chain" => addresses(&next.view.members));
+            info!(self.log, "view proposed"; "view" => next.view.number, "chain" => addresses(&next.view.members));
             self.agreement.propose(now, next);
         }
     }
@@ -172,6 +187,7 @@
         self.head_since = None;
         self.stores.begin();
         self.node.enter(now, next.view.clone());
+        self.unsure();
         self.spreading = None;
         self.beaten = 0;
     }
--- a/crates/keeper/src/owner/spread.rs
+++ b/crates/keeper/src/owner/spread.rs
@@ -17,7 +17,7 @@
     /// What is on all disks of the chain is told to all, by the head.
     pub(super) fn committed(&mut self, now: Ms) {
         if self.node.committed_by(self.least()) < self.node.received() && self.node.is_head() {
-            // What is ordered and not yet kept stays untold; the table already holds it.
+            // What is ordered and not yet kept on enough disks stays untold; the table already holds it.
             return;
         }
         let (map_number, map) = (self.node.machine().map_number, self.node.machine().map.clone());
@@ -46,7 +46,6 @@
                 self.spreading = Some((stamp.0, now));
             }
         }
-        self.tell_keepers(now);
     }
 
     /// Puts a configuration in force once all in touch hold it.
--- a/crates/keeper/src/plan.rs
+++ b/crates/keeper/src/plan.rs
@@ -20,6 +20,8 @@
 struct Heard {
     at: Ms,
     beat: Beat,
+    /// Its lease ends by then at the latest.
+    lent_until: Ms,
 }
 
 /// What the head knows of the stores.
@@ -53,11 +55,24 @@
         self.first.get_or_insert(now);
         let new = self.by_addr.get(&beat.addr).is_none_or(|h| h.beat.id != beat.id);
         if self.by_addr.len() < MOST || self.by_addr.contains_key(&beat.addr) {
-            self.by_addr.insert(beat.addr, Heard { at: now, beat });
+            let lent_until = self.by_addr.get(&beat.addr).map_or(0, |h| h.lent_until);
+            self.by_addr.insert(beat.addr, Heard { at: now, beat, lent_until });
         }
         new
     }
 
+    /// A store gets a lease that ends by then at the latest.
+    pub fn lend(&mut self, store: SocketAddr, until: Ms) {
+        if let Some(heard) = self.by_addr.get_mut(&store) {
+            heard.lent_until = heard.lent_until.max(until);
+        }
+    }
+
+    /// Whether one of these may still have a lease.
+    pub fn lent(&self, now: Ms, stores: &[SocketAddr]) -> bool {
+        stores.iter().any(|s| self.by_addr.get(s).is_some_and(|h| h.lent_until > now))
+    }
+
     /// This process stood still itself.
     pub fn woke(&mut self, now: Ms) {
         self.by_addr.values_mut().for_each(|h| h.at = now);
@@ -260,6 +275,16 @@
     }
 }
 
+/// The stores that serve reads of a partition by one map and are not in its chain by the next.
+pub fn tails_lost(map: &StoreMap, next: &StoreMap) -> Vec<SocketAddr> {
+    let pairs = map.partitions.iter().zip(&next.partitions);
+    let lost = pairs.filter_map(|(old, new)| old.members.last().filter(|tail| new.place(tail).is_none()));
+    let mut lost: Vec<SocketAddr> = lost.map(|m| m.addr).collect();
+    lost.sort();
+    lost.dedup();
+    lost
+}
+
 /// Where a store's copy of a partition stands, as it said.
 fn status_of(beat: &Beat, partition: usize) -> Option<Status> {
     beat.statuses.iter().find(|s| usize::from(s.partition) == partition).map(|s| s.status)
--- /dev/null
+++ b/crates/keeper/tests/world/clients.rs
@@ -0,0 +1,403 @@
+//! Operators and runners: they call any keeper, follow 307, repeat after silence.
+
+use super::{dispatchers::place_of, Client, Event, World, HEARTBEAT};
+use bytes::Bytes;
+use keeper::op::{Answer, Ask};
+use std::collections::BTreeMap;
+
+/// A caller waits so long.
+const PATIENCE: u64 = 1_000;
+/// A runner that hears no acknowledgement ends so long after it said that it leaves.
+const UNHEARD: u64 = 8_000;
+
+#[derive(Default)]
+pub struct Calls {
+    number: u64,
+    /// Who waits, and for which of its turns.
+    open: BTreeMap<u64, (Client, u64)>,
+}
+
+/// A configuration that is sent.
+#[derive(Debug, Clone)]
+pub struct Put {
+    pub base: u64,
+    pub gen: u64,
+    pub body: Bytes,
+    pub valid: bool,
+    pub begun: u64,
+}
+
+pub struct Operator {
+    turn: u64,
+    hops: u32,
+    refusals: u32,
+    pause: u64,
+    target: usize,
+    pub put: Option<Put>,
+    /// A reader: what was acknowledged when it asked, and since when it has had no answer.
+    asked_at: u64,
+    floor: u64,
+}
+
+impl Operator {
+    pub fn new() -> Operator {
+        Operator { turn: 0, hops: 0, refusals: 0, pause: 100, target: 0, put: None, asked_at: 0, floor: 0 }
+    }
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Phase {
+    Up,
+    Draining,
+    Leaving,
+}
+
+pub struct RunnerStandIn {
+    n: usize,
+    births: u64,
+    phase: Phase,
+    seqno: u64,
+    turn: u64,
+    target: usize,
+    born: u64,
+    drains_at: u64,
+    said_at: u64,
+    pub acked_at: Option<u64>,
+}
+
+impl RunnerStandIn {
+    pub fn new(n: usize) -> RunnerStandIn {
+        RunnerStandIn {
+            n,
+            births: 0,
+            phase: Phase::Up,
+            seqno: 0,
+            turn: 0,
+            target: 0,
+            born: 0,
+            drains_at: 0,
+            said_at: 0,
+            acked_at: None,
+        }
+    }
+
+    pub fn id(&self) -> String {
+        format!("i-{}-{}", self.n, self.births)
+    }
+
+    /// Whether it has called for so long that it must be known.
+    pub fn is_settled(&self, now: u64) -> bool {
+        self.phase == Phase::Up && self.born > 0 && now > self.born + 6_000
+    }
+
+    fn body(&self) -> Bytes {
+        let state = if self.phase == Phase::Up { "up" } else { "draining" };
+        let body = format!(
+            "{{\"Svc\":\"s\",\"Address\":\"10.9.0.{}:8080\",\"Zone\":\"z0\",\"Gen\":\"v1\",\"Slots\":4,\
+             \"State\":\"{state}\",\"ColdLeftMs\":0,\"Seqno\":{}}}",
+            self.n + 1,
+            self.seqno
+        );
+        body.into()
+    }
+}
+
+impl World {
+    /// A keeper that a caller's list names.
+    fn any_keeper(&mut self) -> usize {
+        let listed: Vec<usize> = (0..self.keepers.len())
+            .filter(|n| !self.keepers[*n].removed || self.keepers[*n].troubled_at + 3_000 > self.now)
+            .collect();
+        *self.dice.pick(&listed)
+    }
+
+    fn send_call(&mut self, client: Client, turn: u64, keeper: usize, ask: Ask) {
+        self.calls.number += 1;
+        let call = self.calls.number;
+        self.calls.open.insert(call, (client, turn));
+        let way = self.dice.between(1, 5);
+        self.after(way, Event::Call { keeper, call, ask });
+        self.after(PATIENCE, Event::Answer { call, answer: None });
+    }
+
+    pub fn keeper_answers(&mut self, _n: usize, call: u64, answer: Answer) {
+        let way = self.dice.between(1, 5);
+        self.after(way, Event::Answer { call, answer: Some(answer) });
+    }
+
+    pub fn answered(&mut self, call: u64, answer: Option<Answer>) {
+        let Some((client, turn)) = self.calls.open.remove(&call) else { return };
+        match client {
+            Client::Operator(n) if self.operators[n].turn == turn => self.operator_hears(n, answer),
+            Client::Reader if self.reader.turn == turn => self.reader_hears(answer),
+            Client::Runner(n) if self.runners[n].turn == turn => self.runner_hears(n, answer),
+            _ => {}
+        }
+    }
+
+    pub fn wake(&mut self, client: Client, turn: u64) {
+        match client {
+            Client::Operator(n) if self.operators[n].turn == turn => self.operator_goes_on(n),
+            Client::Reader if self.reader.turn == turn => self.reader_goes_on(),
+            Client::Runner(n) if self.runners[n].turn == turn => self.runner_goes_on(n),
+            _ => {}
+        }
+    }
+
+    /// Begins another change, or sends the present one again.
+    fn operator_goes_on(&mut self, n: usize) {
+        if self.operators[n].put.is_none() {
+            if self.closed {
+                return;
+            }
+            let put = self.draw_put();
+            self.checker.sent(&put);
+            let (gen, base, valid) = (put.gen, put.base, put.valid);
+            self.note(|| format!("operator {n} sends {gen} on {base}, valid: {valid}"));
+            if self.dice.permille(150) {
+                // The other one sends at the same time, on the same version.
+                let other = 1 - n;
+                if self.operators[other].put.is_none() {
+                    let above = self.dice.between(1, 4);
+                    let rival = self.draw_put_on(put.base, put.base + above, true);
+                    self.checker.sent(&rival);
+                    self.operators[other].put = Some(rival);
+                    self.send_put(other);
+                }
+            }
+            self.operators[n].put = Some(put);
+        }
+        self.send_put(n);
+    }
+
+    fn send_put(&mut self, n: usize) {
+        let keeper = self.any_keeper();
+        let operator = &mut self.operators[n];
+        operator.hops = 0;
+        operator.target = keeper;
+        self.send_put_to(n, keeper);
+    }
+
+    fn send_put_to(&mut self, n: usize, keeper: usize) {
+        let operator = &mut self.operators[n];
+        operator.turn += 1;
+        let turn = operator.turn;
+        let Some(put) = operator.put.clone() else { return };
+        self.send_call(Client::Operator(n), turn, keeper, Ask::Put { base: put.base, body: put.body });
+    }
+
+    fn draw_put(&mut self) -> Put {
+        let base = self.checker.newest_acked();
+        let gen = base + self.dice.between(1, 4);
+        let valid = !self.dice.permille(150);
+        self.draw_put_on(base, gen, valid)
+    }
+
+    fn draw_put_on(&mut self, base: u64, gen: u64, valid: bool) -> Put {
+        let mark = self.life();
+        let fill = if self.dice.permille(80) {
+            "x".repeat(self.dice.below(400_000) as usize)
+        } else {
+            String::new()
+        };
+        let mut named = "s";
+        let (mut number, mut timeout, mut cut) = (gen, 900, false);
+        if !valid {
+            match self.dice.below(4) {
+                0 => named = "nobody",
+                1 => number = base,
+                2 => timeout = 0,
+                _ => cut = true,
+            }
+        }
+        let mut body = format!(
+            "{{\"Gen\":{number},\"Routes\":[{{\"Name\":\"r\",\"Host\":\"h{mark}.example\",\"Prefix\":\"/a/\",\
+             \"Kind\":\"idempotent\",\"TimeoutMs\":{timeout},\"TargetMs\":100,\"Prio\":0,\"Svc\":\"{named}\",\
+             \"Tries\":1}}],\"Svcs\":[{{\"Name\":\"s\",\"HealthPath\":\"/h\"}}],\"Note\":\"{fill}\"}}"
+        );
+        if cut {
+            body.truncate(body.len() / 2);
+        }
+        Put { base, gen: number, body: body.into(), valid, begun: self.now }
+    }
+
+    fn operator_hears(&mut self, n: usize, answer: Option<Answer>) {
+        let target = self.operators[n].target;
+        let Some(put) = self.operators[n].put.clone() else { return };
+        let status = answer.as_ref().map_or(0, |a| a.status);
+        if status == 307 && self.operators[n].hops < 2 {
+            if let Some(to) = answer.and_then(|a| a.location).and_then(|l| keeper_of(&l)) {
+                self.operators[n].hops += 1;
+                return self.send_put_to(n, to);
+            }
+        }
+        let clear = match status {
+            200 => {
+                self.note(|| format!("operator {n}: {} acknowledged", put.gen));
+                self.checker.acked(self.now, &put);
+                if let Some(closing) = self.armed.take() {
+                    let soon = self.dice.below(30);
+                    self.close_soon(closing, soon);
+                }
+                true
+            }
+            400 | 409 | 412 | 413 | 422 => {
+                self.note(|| format!("operator {n}: {} refused with {status}", put.gen));
+                let stable = self.stable_since();
+                let alone = self.operators.iter().filter(|o| o.put.is_some()).count() == 1;
+                self.checker.refused(
+                    self.now,
+                    &put,
+                    status,
+                    alone && stable.saturating_add(super::CONTACT) < put.begun,
+                );
+                true
+            }
+            400..=499 => {
+                self.operators[n].refusals += 1;
+                self.operators[n].refusals >= 3
+            }
+            _ => false,
+        };
+        let operator = &mut self.operators[n];
+        operator.turn += 1;
+        let turn = operator.turn;
+        if clear {
+            operator.put = None;
+            operator.refusals = 0;
+            operator.pause = 100;
+            let pause = self.dice.between(100, 2_500);
+            return self.after(pause, Event::Wake { client: Client::Operator(n), turn });
+        }
+        self.note(|| format!("operator {n}: {} at {target}: status {status}", put.gen));
+        let operator = &mut self.operators[n];
+        operator.pause = (operator.pause * 3 / 2).min(1_000);
+        let pause = operator.pause;
+        self.after(pause, Event::Wake { client: Client::Operator(n), turn });
+    }
+
+    fn reader_goes_on(&mut self) {
+        let keeper = self.any_keeper();
+        if self.reader.asked_at == 0 {
+            self.reader.asked_at = self.now;
+        }
+        self.reader.hops = 0;
+        self.reader.floor = self.checker.newest_acked();
+        self.read_at(keeper);
+    }
+
+    fn read_at(&mut self, keeper: usize) {
+        self.reader.turn += 1;
+        let turn = self.reader.turn;
+        self.send_call(Client::Reader, turn, keeper, Ask::Get);
+    }
+
+    fn reader_hears(&mut self, answer: Option<Answer>) {
+        let status = answer.as_ref().map_or(0, |a| a.status);
+        if status == 307 && self.reader.hops < 2 {
+            if let Some(to) = answer.as_ref().and_then(|a| a.location.as_deref()).and_then(keeper_of) {
+                self.reader.hops += 1;
+                return self.read_at(to);
+            }
+        }
+        let mut pause = 100;
+        if let Some(answer) = answer.filter(|a| a.status == 200) {
+            let floor = self.reader.floor;
+            self.checker.read(self.now, floor, &answer.body);
+            self.reader.asked_at = 0;
+            pause = self.dice.between(200, 2_000);
+        }
+        self.reader.turn += 1;
+        let turn = self.reader.turn;
+        self.after(pause, Event::Wake { client: Client::Reader, turn });
+    }
+
+    /// Since when the reader has had no answer.
+    pub fn unread_since(&self) -> Option<u64> {
+        Some(self.reader.asked_at).filter(|at| *at > 0)
+    }
+
+    fn runner_goes_on(&mut self, n: usize) {
+        let now = self.now;
+        if self.runners[n].born == 0 {
+            let lives = self.dice.between(5_000, 20_000);
+            let keeper = self.any_keeper();
+            let runner = &mut self.runners[n];
+            runner.births += 1;
+            (runner.born, runner.drains_at) = (now, now + lives);
+            (runner.phase, runner.acked_at) = (Phase::Up, None);
+            runner.target = keeper;
+        }
+        let crashes = self.dice.permille(4);
+        let runner = &mut self.runners[n];
+        if crashes && runner.phase == Phase::Up {
+            return self.runner_ends(n);
+        }
+        if runner.phase == Phase::Up && now >= runner.drains_at {
+            (runner.phase, runner.said_at) = (Phase::Draining, now);
+            let id = runner.id();
+            self.note(|| format!("runner {id} drains"));
+        }
+        let runner = &mut self.runners[n];
+        let unheard =
+            runner.phase == Phase::Draining && runner.acked_at.is_none() && now > runner.said_at + UNHEARD;
+        let over = runner.acked_at.is_some_and(|at| now > at + 3_000);
+        if unheard || over {
+            runner.phase = Phase::Leaving;
+        }
+        runner.turn += 1;
+        runner.seqno += 1;
+        let (turn, target, id) = (runner.turn, runner.target, runner.id());
+        let ask = match runner.phase {
+            Phase::Leaving => Ask::Leave { id },
+            Phase::Up | Phase::Draining => Ask::Beat { id, body: runner.body() },
+        };
+        self.send_call(Client::Runner(n), turn, target, ask);
+        if self.runners[n].phase == Phase::Leaving {
+            self.runner_ends(n);
+        }
+    }
+
+    fn runner_ends(&mut self, n: usize) {
+        let runner = &mut self.runners[n];
+        runner.turn += 1;
+        runner.born = 0;
+        let turn = runner.turn;
+        let pause = self.dice.between(500, 6_000);
+        self.after(pause, Event::Wake { client: Client::Runner(n), turn });
+    }
+
+    fn runner_hears(&mut self, n: usize, answer: Option<Answer>) {
+        let now = self.now;
+        let heard = answer.is_some_and(|a| a.status == 200);
+        let next = self.any_keeper();
+        let stable = self.stable_since();
+        let runner = &mut self.runners[n];
+        runner.turn += 1;
+        let turn = runner.turn;
+        let mut pause = HEARTBEAT;
+        if !heard {
+            runner.target = next;
+            pause = 30;
+        } else if runner.phase == Phase::Draining && runner.acked_at.is_none() {
+            runner.acked_at = Some(now);
+            let id = runner.id();
+            self.note(|| format!("runner {id}: draining acknowledged"));
+            self.checker.drained(now, id);
+        }
+        let runner = &self.runners[n];
+        let waits = now.saturating_sub(runner.said_at.max(stable.saturating_add(super::CONTACT)));
+        if runner.phase == Phase::Draining && runner.acked_at.is_none() && !heard && waits > super::ACK {
+            let what = format!("draining of {} is not acknowledged in {waits} calm ms", runner.id());
+            self.checker.broke(now, what);
+        }
+        self.after(pause, Event::Wake { client: Client::Runner(n), turn });
+    }
+}
+
+/// The keeper that a `Location` names.
+fn keeper_of(location: &str) -> Option<usize> {
+    let rest = location.strip_prefix("http://")?;
+    let addr: std::net::SocketAddr = rest.split('/').next()?.parse().ok()?;
+    Some(place_of(addr))
+}
--- /dev/null
+++ b/crates/keeper/tests/world/day.rs
@@ -0,0 +1,395 @@
+//! The faults of a day, one at a time, and what is looked at all the time and at its end.
+
+use super::{keepers, Actor, Event, Machine, World, ACK, APPLY, CONTACT, STRETCH, SYNC};
+use runner_registry::RunnerState;
+
+/// How a day ends, right after an acknowledgement.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Closing {
+    Nothing,
+    /// Every process is killed.
+    Kill,
+    /// Every machine loses power.
+    Power,
+    /// One keeper loses its disk.
+    Wipe,
+    /// One keeper loses its disk, all others lose power.
+    WipeAndPower,
+}
+
+const CLOSINGS: [Closing; 5] =
+    [Closing::Nothing, Closing::Kill, Closing::Power, Closing::Wipe, Closing::WipeAndPower];
+
+/// What a day is like.
+#[derive(Debug, Clone, Copy)]
+pub struct Plan {
+    /// How many keepers; drawn otherwise.
+    pub keepers: Option<usize>,
+    pub faults: u64,
+    pub first_fault: u64,
+    /// Only this kind of fault.
+    pub kind: Option<u64>,
+    pub closing: Option<Closing>,
+}
+
+impl Default for Plan {
+    fn default() -> Plan {
+        Plan { keepers: None, faults: 4, first_fault: 7_000, kind: None, closing: None }
+    }
+}
+
+/// After the closing fault all must be well within this.
+const AFTERWARDS: u64 = 14_000;
+/// Kinds of faults.
+const KINDS: u64 = 28;
+
+impl World {
+    /// Since when the core has been without trouble; in the future while there is some.
+    pub fn stable_since(&self) -> u64 {
+        let keepers = self.keepers.iter().map(|k| k.troubled_at.max(k.frozen_until).max(k.slow_until));
+        let stores = self.stores.iter().map(|s| s.troubled_at.max(s.frozen_until));
+        keepers.chain(stores).max().unwrap_or(0)
+    }
+
+    fn up(&self) -> Vec<usize> {
+        (0..self.keepers.len()).filter(|n| self.keepers[*n].is_up()).collect()
+    }
+
+    pub fn fault(&mut self) {
+        if self.faults_left == 0 {
+            return self.close_now_or_soon();
+        }
+        self.faults_left -= 1;
+        self.checker.faults += 1;
+        let up = self.up();
+        let n = *self.dice.pick(&up);
+        let kind = self.plan.kind.unwrap_or_else(|| self.dice.below(KINDS));
+        let long = self.dice.permille(200);
+        let span = if long { self.dice.between(4_000, 9_000) } else { self.dice.between(50, 3_500) };
+        let until = self.now + span;
+        self.note(|| format!("fault {kind} at {n} for {span}"));
+        let mut ends = until;
+        match kind {
+            0 | 1 => self.kill_keeper(n, span),
+            2 | 3 => self.power_off(n, span),
+            4 | 5 => {
+                self.keepers[n].frozen_until = until;
+                self.after(span, Event::Thaw { who: Actor::Keeper(n) });
+            }
+            6 | 7 => {
+                self.terminate(n);
+                ends = self.now + 4_500;
+            }
+            8 => self.cut_pair(n, until, true),
+            9 | 10 => self.cut_pair(n, until, false),
+            11 => self.cut_around(n, until, (true, true), false),
+            12 => self.cut_around(n, until, (true, false), false),
+            13 => self.cut_around(n, until, (false, true), false),
+            14 => self.cut_around(n, until, (true, true), true),
+            15 => {
+                self.keepers[n].slow_until = until;
+            }
+            16 => {
+                let addr = self.keepers[n].addr;
+                self.network.reset(addr);
+                self.keepers[n].troubled_at = self.now;
+            }
+            17 | 18 => self.wipe(n, span),
+            19 => {
+                self.remove(n);
+                let peers: Vec<_> =
+                    up.iter().filter(|m| **m != n).map(|m| keepers::ctl(self.keepers[*m].addr)).collect();
+                self.keepers.push(Machine::later(self.keepers.len(), peers));
+                let late = self.keepers.len() - 1;
+                self.keepers[late].troubled_at = u64::MAX;
+                self.after(span, Event::Start { who: Actor::Keeper(late) });
+            }
+            20 => {
+                let (addr, by) = (self.keepers[n].addr, self.dice.between(50, 700));
+                self.network.slow(addr, until, by);
+                self.keepers[n].troubled_at = until;
+            }
+            21 => {
+                let s = self.dice.below(self.stores.len() as u64) as usize;
+                match self.dice.below(4) {
+                    0 => self.kill_store(s, span, false),
+                    1 => self.kill_store(s, span, true),
+                    2 => {
+                        self.terminate_store(s);
+                        ends = self.now + 5_000;
+                        self.after(1_200, Event::StoreEnd { store: s });
+                    }
+                    _ => {
+                        self.stores[s].frozen_until = until;
+                        self.stores[s].troubled_at = until;
+                    }
+                }
+            }
+            24 | 25 => {
+                // All are restarted in order, one after the other.
+                let left = up.len();
+                ends = self.now + 9_000 * left as u64;
+                self.roll(left);
+            }
+            26 | 27 => {
+                let left = self.dice.between(2, 4);
+                ends = self.now + 4_000 * (left + 1);
+                self.again(n, left);
+            }
+            _ => {
+                let d = self.dice.below(self.dispatchers.len() as u64) as usize;
+                if self.dice.permille(500) {
+                    self.kill_dispatcher(d, span);
+                } else {
+                    self.dispatchers[d].frozen_until = until;
+                    self.dispatchers[d].troubled_at = until;
+                }
+            }
+        }
+        let calm = SYNC + self.dice.between(500, 3_000);
+        self.after(ends + calm - self.now, Event::Fault);
+    }
+
+    /// Ends the next one in an orderly way, soon after the one before came back.
+    pub fn roll(&mut self, left: usize) {
+        let up = self.up();
+        let Some(n) = left.checked_sub(1).and_then(|n| up.get(n).copied()) else { return };
+        self.terminate(n);
+        let next = 4_300 + self.dice.below(4_000);
+        self.after(next, Event::Roll { left: left - 1 });
+    }
+
+    /// Ends one again and again.
+    pub fn again(&mut self, n: usize, left: u64) {
+        if self.keepers[n].is_up() {
+            let back = self.dice.between(50, 1_500);
+            match self.dice.below(3) {
+                0 => self.kill_keeper(n, back),
+                1 => self.power_off(n, back),
+                _ => self.cut_around(n, self.now + back, (true, true), false),
+            }
+        }
+        if left > 0 {
+            let next = self.dice.between(200, 4_000);
+            self.after(next, Event::Again { keeper: n, left: left - 1 });
+        }
+    }
+
+    /// One of the keepers has to wait for the processor.
+    pub fn hiccup(&mut self) {
+        let n = self.dice.below(self.keepers.len() as u64) as usize;
+        let span = self.dice.between(20, 350);
+        self.keepers[n].waits_until = self.now + span;
+        let next = self.dice.between(100, 3_000);
+        self.after(next, Event::Hiccup);
+    }
+
+    fn cut_pair(&mut self, n: usize, until: u64, both: bool) {
+        let others: Vec<usize> = self.up().into_iter().filter(|m| *m != n).collect();
+        let m = *self.dice.pick(&others);
+        let (a, b) = (self.keepers[n].addr, self.keepers[m].addr);
+        self.network.cut(a, b, self.now, until);
+        if both {
+            self.network.cut(b, a, self.now, until);
+        }
+        self.keepers[n].troubled_at = until;
+        self.keepers[m].troubled_at = until;
+    }
+
+    fn cut_around(&mut self, n: usize, until: u64, (out, into): (bool, bool), from_all: bool) {
+        let own = self.keepers[n].addr;
+        let mut others: Vec<_> = self.keepers.iter().map(|k| k.addr).filter(|a| *a != own).collect();
+        if from_all {
+            others.extend(self.dispatchers.iter().map(|d| d.addr));
+            others.extend(self.stores.iter().map(|s| s.addr));
+        }
+        for other in others {
+            if out {
+                self.network.cut(own, other, self.now, until);
+            }
+            if into {
+                self.network.cut(other, own, self.now, until);
+            }
+        }
+        self.keepers[n].troubled_at = until;
+    }
+
+    /// The closing fault comes right after the next acknowledgement.
+    fn close_now_or_soon(&mut self) {
+        let closing = self.plan.closing.unwrap_or_else(|| *self.dice.pick(&CLOSINGS));
+        if self.ends_at.is_some() {
+            return;
+        }
+        if let Some(closing) = self.armed.take() {
+            return self.close(closing);
+        }
+        self.armed = Some(closing);
+        self.after(6_000, Event::Fault);
+    }
+
+    pub fn close_soon(&mut self, closing: Closing, soon: u64) {
+        self.after(soon, Event::Close(closing));
+    }
+
+    pub fn close(&mut self, closing: Closing) {
+        if self.closed {
+            return;
+        }
+        self.closed = true;
+        self.note(|| format!("closing: {closing:?}"));
+        let up = self.up();
+        let n = *self.dice.pick(&up);
+        let mut latest = 0;
+        for m in up {
+            let back = self.dice.between(100, 2_500);
+            match closing {
+                Closing::Kill => self.kill_keeper(m, back),
+                Closing::Power => self.power_off(m, back),
+                Closing::Wipe | Closing::WipeAndPower if m == n => self.wipe(m, back),
+                Closing::WipeAndPower => self.power_off(m, back),
+                _ => continue,
+            }
+            latest = latest.max(back);
+        }
+        if matches!(closing, Closing::Kill | Closing::Power) {
+            for d in 0..self.dispatchers.len() {
+                let back = self.dice.between(100, 2_500);
+                self.kill_dispatcher(d, back);
+            }
+            for s in 0..self.stores.len() {
+                let back = self.dice.between(100, 2_500);
+                self.kill_store(s, back, false);
+            }
+            latest = 2_500;
+        }
+        self.ends_at = Some(self.now + latest + AFTERWARDS);
+    }
+
+    /// Looked at ten times a second.
+    pub fn check(&mut self) {
+        let now = self.now;
+        let stable = self.stable_since();
+        let calm = now.saturating_sub(stable);
+        let touch = calm >= CONTACT;
+        let must = self.checker.acked_before(now.saturating_sub(APPLY));
+        let must_outer = self.checker.acked_before(now.saturating_sub(APPLY + STRETCH));
+        let newest_map = self.checker.newest_map.as_ref().map_or(0, |m| m.number);
+        let mut broken = Vec::new();
+        for (n, d) in self.dispatchers.iter().enumerate() {
+            let own = now.saturating_sub(d.troubled_at.max(d.frozen_until));
+            if !d.is_up() || own < CONTACT {
+                continue;
+            }
+            let force = d.force.as_ref().map_or(0, |f| f.0);
+            if touch && force < must {
+                broken.push(format!("dispatcher {n} has {force} in force, {must} was acknowledged"));
+            }
+            if !self.closed && force < must_outer && own >= CONTACT + STRETCH {
+                broken.push(format!(
+                    "dispatcher {n} has {force} in force, {must_outer} was acknowledged long ago"
+                ));
+            }
+            for (at, id) in &self.checker.drains {
+                let due = stable.saturating_add(CONTACT) <= *at && own + at >= now && now >= at + 1_000
+                    || calm >= SYNC && own >= SYNC && now >= at + 1_000;
+                if due && d.runner(id) == Some(RunnerState::Up) {
+                    let follows = d.follows(now);
+                    broken.push(format!(
+                        "dispatcher {n} holds {id} for up, which drains since {at}, and follows {follows}"
+                    ));
+                }
+            }
+            if calm < SYNC || own < SYNC {
+                continue;
+            }
+            let map = d.map.as_ref().map_or(0, |m| m.number);
+            if map == 0 || map < newest_map && now > self.checker.map_at + 1_000 {
+                broken.push(format!("dispatcher {n} knows map {map} of stores, the newest is {newest_map}"));
+            }
+            for runner in self.runners.iter().filter(|r| r.is_settled(now)) {
+                let state = d.runner(&runner.id());
+                if state != Some(RunnerState::Up) {
+                    broken.push(format!("dispatcher {n} holds {} for {state:?}", runner.id()));
+                }
+            }
+        }
+        let waits = |since: u64| now.saturating_sub(since.max(stable.saturating_add(CONTACT)));
+        for operator in &self.operators {
+            if let Some(put) = operator.put.as_ref().filter(|p| waits(p.begun) > ACK) {
+                broken.push(format!("no clear answer for {} since {}", put.gen, put.begun));
+            }
+        }
+        if let Some(since) = self.unread_since().filter(|since| waits(*since) > CONTACT) {
+            if self.checker.newest_acked() > 0 {
+                broken.push(format!("the configuration can't be read since {since}"));
+            }
+        }
+        for what in broken {
+            self.checker.broke(now, what);
+        }
+    }
+
+    /// Nobody who was well is left out of the chain.
+    pub fn look_at_view(&mut self, n: usize) {
+        let Some(view) = self.keepers[n].owner().and_then(|o| o.view()) else { return };
+        if self.checker.view.as_ref().is_some_and(|old| old.view.number >= view.view.number) {
+            return;
+        }
+        let view = view.clone();
+        self.checker.views += 1;
+        let old = self.checker.view.replace(view.clone());
+        for member in old.iter().flat_map(|old| &old.view.members) {
+            let stays = view.view.members.iter().any(|m| m.is(member));
+            let Some(machine) = self.keepers.iter().find(|k| k.is(member)) else { continue };
+            let since = machine.troubled_at.max(machine.frozen_until).max(machine.slow_until);
+            if !stays && view.view.members.len() < 3 && since.saturating_add(CONTACT) < self.now {
+                let what =
+                    format!("{} was left out of view {}, and was well", machine.node, view.view.number);
+                self.checker.broke(self.now, what);
+            }
+        }
+    }
+
+    /// All has been calm for long.
+    pub fn at_the_end(&mut self) {
+        let now = self.now;
+        let newest = self.checker.newest_acked();
+        let mut broken = Vec::new();
+        let live: Vec<_> = self.keepers.iter().filter(|k| k.is_up()).map(|k| k.addr).collect();
+        if let Some(view) = &self.checker.view {
+            let there = |list: &[chain::Member]| list.iter().all(|m| live.contains(&m.addr));
+            if view.view.members.len() != 3 || !there(&view.view.members) {
+                broken.push(format!("the chain is {:?}", view.view.members));
+            }
+            if view.acceptors.len() != 3 || !there(&view.acceptors) {
+                broken.push(format!("the acceptors are {:?}", view.acceptors));
+            }
+        }
+        for (n, d) in self.dispatchers.iter().enumerate() {
+            let force = d.force.as_ref().map_or(0, |f| f.0);
+            if force < newest {
+                broken.push(format!("dispatcher {n} ends with {force}, {newest} was acknowledged"));
+            }
+            if live.iter().any(|k| !d.keepers().contains(k)) {
+                broken.push(format!("dispatcher {n} knows the keepers {:?}", d.keepers()));
+            }
+            let nodes = d.nodes();
+            if let Some(missing) = self.dispatchers.iter().find(|o| !nodes.contains(&o.node)) {
+                broken.push(format!("dispatcher {n} does not know {}", missing.node));
+            }
+            let Some(map) = &d.map else { continue };
+            for (partition, view) in map.partitions.iter().enumerate() {
+                let alive = |m: &chain::Member| self.stores.iter().any(|s| s.addr == m.addr && s.id == m.id);
+                if view.members.len() != 3 || !view.members.iter().all(alive) {
+                    broken.push(format!("partition {partition} has the chain {:?}", view.members));
+                }
+            }
+        }
+        if self.unread_since().is_some_and(|since| now > since + CONTACT) {
+            broken.push("the configuration can't be read".to_owned());
+        }
+        for what in broken {
+            self.checker.broke(now, what);
+        }
+    }
+}
--- /dev/null
+++ b/crates/keeper/tests/world/dispatchers.rs
@@ -0,0 +1,237 @@
+//! Stand-ins for dispatchers: each follows the board as the real ones do.
+
+use super::{keepers, Actor, Event, World, CTL, PEER};
+use bytes::Bytes;
+use lots::wire::{Message, StoreMap};
+use relay_tree::{tree_parents, Board, Follow, Msg, Stamp};
+use runner_registry::{Runner, RunnerState};
+use std::net::SocketAddr;
+use tier_facts::{decode_addresses, HELLO, HELLO_EVERY, KEEPERS, NODES, RELAY};
+
+const TICK: u64 = 100;
+/// How old what a parent says may be for the first configuration of a life to come into force.
+const FRESH: u64 = 1_500;
+
+struct Process {
+    board: Board,
+    life: u64,
+    began: u64,
+    next: Option<(u64, Bytes)>,
+    keepers: Vec<SocketAddr>,
+    hello_at: u64,
+    hello_turn: usize,
+}
+
+pub struct Dispatcher {
+    pub addr: SocketAddr,
+    pub node: String,
+    pub zone: String,
+    peers: Vec<SocketAddr>,
+    process: Option<Process>,
+    pub frozen_until: u64,
+    /// When something last happened to it.
+    pub troubled_at: u64,
+    /// What is in force: number and body.
+    pub force: Option<(u64, Bytes)>,
+    /// The newest map of stores that it knows.
+    pub map: Option<StoreMap>,
+}
+
+impl Dispatcher {
+    pub fn new(n: usize, founders: &[SocketAddr]) -> Dispatcher {
+        Dispatcher {
+            addr: SocketAddr::from(([10, 0, 1, n as u8 + 1], PEER + 1)),
+            node: format!("carrier-{n}"),
+            zone: format!("z{}", n % 3),
+            peers: founders.iter().map(|ctl| peer_of(*ctl)).collect(),
+            process: None,
+            frozen_until: 0,
+            troubled_at: 0,
+            force: None,
+            map: None,
+        }
+    }
+
+    pub fn life(&self) -> u64 {
+        self.process.as_ref().map_or(0, |p| p.life)
+    }
+
+    pub fn is_up(&self) -> bool {
+        self.process.is_some()
+    }
+
+    /// Whom it follows, and how old what it knows may be.
+    pub fn follows(&self, now: u64) -> String {
+        let told = |p: &Process| format!("{:?}, {} ms", p.board.parent(), p.board.age(now - p.began + 1));
+        self.process.as_ref().map(told).unwrap_or_default()
+    }
+
+    /// How a runner stands here; none if it is not known.
+    pub fn runner(&self, id: &str) -> Option<RunnerState> {
+        let fact = self.process.as_ref()?.board.get(&runner_registry::key(id))?;
+        Runner::read(fact).ok().map(|r| r.state)
+    }
+
+    /// The keepers that it was told of.
+    pub fn keepers(&self) -> &[SocketAddr] {
+        self.process.as_ref().map(|p| p.keepers.as_slice()).unwrap_or_default()
+    }
+
+    /// The dispatchers that it knows of.
+    pub fn nodes(&self) -> Vec<String> {
+        let board = self.process.as_ref().map(|p| &p.board);
+        let facts = board.into_iter().flat_map(|b| b.under(NODES));
+        facts.map(|f| f.key.trim_start_matches(NODES).to_owned()).collect()
+    }
+}
+
+/// The peer address of the keeper with this address of `ctl`.
+pub fn peer_of(ctl: SocketAddr) -> SocketAddr {
+    debug_assert_eq!(ctl.port(), CTL);
+    SocketAddr::new(ctl.ip(), PEER)
+}
+
+impl World {
+    pub fn start_dispatcher(&mut self, n: usize) {
+        let life = self.life();
+        let now = self.now;
+        let dispatcher = &mut self.dispatchers[n];
+        if dispatcher.is_up() {
+            return;
+        }
+        let mut board = Board::new(life, dispatcher.addr, Follow::First, false);
+        board.parents(1, dispatcher.peers.clone());
+        dispatcher.process = Some(Process {
+            board,
+            life,
+            began: now,
+            next: None,
+            keepers: Vec::new(),
+            hello_at: 0,
+            hello_turn: 0,
+        });
+        dispatcher.troubled_at = now;
+        dispatcher.force = None;
+        dispatcher.map = None;
+        self.note(|| format!("dispatcher {n} started"));
+        self.after(1, Event::Tick { who: Actor::Dispatcher(n), life });
+    }
+
+    pub fn kill_dispatcher(&mut self, n: usize, back: u64) {
+        self.note(|| format!("dispatcher {n} killed"));
+        self.dispatchers[n].process = None;
+        self.dispatchers[n].troubled_at = u64::MAX;
+        let addr = self.dispatchers[n].addr;
+        self.network.reset(addr);
+        self.after(back, Event::Start { who: Actor::Dispatcher(n) });
+    }
+
+    pub fn tick_dispatcher(&mut self, n: usize, life: u64) {
+        let now = self.now;
+        let dispatcher = &mut self.dispatchers[n];
+        let frozen = dispatcher.frozen_until;
+        let Some(process) = dispatcher.process.as_mut().filter(|p| p.life == life) else { return };
+        if frozen > now {
+            return self.after(frozen - now + 1, Event::Tick { who: Actor::Dispatcher(n), life });
+        }
+        let own = now - process.began + 1;
+        process.board.tick(own);
+        let mut hello = None;
+        if own >= process.hello_at + HELLO_EVERY {
+            process.hello_at = own;
+            process.hello_turn += 1;
+            // Its own zone's keeper first; to two in turn.
+            let mut to: Vec<SocketAddr> = process.keepers.clone();
+            if to.is_empty() {
+                to = dispatcher.peers.clone();
+            }
+            hello = to.get(process.hello_turn % 2).or(to.first()).copied();
+        }
+        let addr = dispatcher.addr;
+        if let Some(keeper) = hello {
+            self.tell(addr, keeper, HELLO, Bytes::new());
+        }
+        self.settle_dispatcher(n);
+        self.after(TICK, Event::Tick { who: Actor::Dispatcher(n), life });
+    }
+
+    pub fn dispatcher_told(&mut self, n: usize, from: SocketAddr, kind: u16, body: Bytes) {
+        let now = self.now;
+        let Some(process) = self.dispatchers[n].process.as_mut().filter(|_| kind == RELAY) else { return };
+        if let Ok(msg) = Msg::decode(body) {
+            process.board.message(now - process.began + 1, from, msg);
+        }
+        self.settle_dispatcher(n);
+    }
+
+    fn settle_dispatcher(&mut self, n: usize) {
+        let now = self.now;
+        let dispatcher = &mut self.dispatchers[n];
+        let (addr, zone, peers) = (dispatcher.addr, dispatcher.zone.clone(), dispatcher.peers.clone());
+        let Some(process) = dispatcher.process.as_mut() else { return };
+        let own = now - process.began + 1;
+        let changes = process.board.changes();
+        let mut tree = false;
+        let mut map = None;
+        for key in &changes {
+            let value = process.board.get(key).and_then(|f| f.value.clone().map(|v| (f.stamp, v)));
+            match (key.as_str(), value) {
+                ("stores", Some((_, value))) => map = StoreMap::decode(&value).ok(),
+                ("config/next", Some((stamp, value))) => process.next = Some((stamp.0, value)),
+                (KEEPERS, Some((_, value))) => {
+                    process.keepers = decode_addresses(&value);
+                    tree = true;
+                }
+                (key, _) if key.starts_with(NODES) => tree = true,
+                _ => {}
+            }
+        }
+        let fresh = process.board.age(own) <= FRESH;
+        let active = process.board.get("config/active").map(|f| f.stamp);
+        let next = process.next.clone().filter(|(gen, _)| active == Some(Stamp(*gen, 0)));
+        let held = dispatcher.force.as_ref().map(|f| f.0);
+        let force = next.filter(|(gen, _)| held.is_none_or(|held| held < *gen) && (held.is_some() || fresh));
+        if tree {
+            let known = process.board.under(NODES).filter_map(|f| {
+                tier_facts::Dispatcher::decode(f.value.as_ref()?).map(|d| (d.addr, d.zone.to_string()))
+            });
+            let known: Vec<(SocketAddr, String)> = known.collect();
+            let zone_of = |a: &SocketAddr| format!("z{}", (ip_end(*a) - 1) % 3);
+            let keepers: Vec<(SocketAddr, String)> =
+                process.keepers.iter().map(|a| (*a, zone_of(a))).collect();
+            let mut list = Vec::new();
+            if !keepers.is_empty() {
+                list = tree_parents(addr, &zone, &known, &keepers, 2);
+            }
+            list.extend(peers);
+            process.board.parents(own, list);
+        }
+        let messages = process.board.take();
+        if let Some((gen, body)) = force {
+            self.dispatchers[n].force = Some((gen, body.clone()));
+            self.note(|| format!("dispatcher {n} has {gen} in force"));
+            self.checker.in_force(now, gen, &body);
+        }
+        if let Some(map) = map {
+            self.map_learned(&map);
+            self.dispatchers[n].map = Some(map);
+        }
+        for (to, msg) in messages {
+            self.tell(addr, to, RELAY, msg.encode());
+        }
+    }
+}
+
+fn ip_end(addr: SocketAddr) -> usize {
+    match addr.ip() {
+        std::net::IpAddr::V4(ip) => usize::from(ip.octets()[3]),
+        std::net::IpAddr::V6(_) => 0,
+    }
+}
+
+/// The keeper at this place of the list, by its address.
+pub fn place_of(addr: SocketAddr) -> usize {
+    let place = ip_end(addr) - 1;
+    debug_assert_eq!(keepers::address(place).ip(), addr.ip());
+    place
+}
--- /dev/null
+++ b/crates/keeper/tests/world/keepers.rs
@@ -0,0 +1,404 @@
+//! Machines with whole keepers: their disks, starts and ends.
+
+use super::{Actor, Dice, Event, World, CTL, HEARTBEAT, PEER};
+use bytes::Bytes;
+use keeper::begin::{Begin, Found, Kind};
+use keeper::op::Ask;
+use keeper::owner::{Out, Owner, Told, TICK};
+use peer_link::Peer;
+use slog::{Drain, Logger, OwnedKVList, Record, KV};
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU64, Ordering};
+use tier_settings::Settings;
+
+pub fn address(n: usize) -> SocketAddr {
+    SocketAddr::from(([10, 0, 0, n as u8 + 1], PEER))
+}
+
+pub fn ctl(peer: SocketAddr) -> SocketAddr {
+    SocketAddr::new(peer.ip(), CTL)
+}
+
+#[derive(Default)]
+struct Disk {
+    identity: Option<u64>,
+    records: Vec<(Kind, Bytes)>,
+    /// So many are safe from a loss of power.
+    safe: usize,
+    /// Whose writes the records are that are not.
+    waiting: Vec<(usize, Told)>,
+    busy: bool,
+}
+
+struct Process {
+    owner: Owner,
+    id: u64,
+    life: u64,
+    began: u64,
+    ends: bool,
+}
+
+pub struct Machine {
+    pub addr: SocketAddr,
+    pub node: String,
+    pub zone: String,
+    pub peers: Vec<SocketAddr>,
+    bootstrap: bool,
+    disk: Disk,
+    process: Option<Process>,
+    pub frozen_until: u64,
+    /// It has no processor time until then; that is no trouble.
+    pub waits_until: u64,
+    /// Until then the disk is slow.
+    pub slow_until: u64,
+    /// When something last happened to it; `u64::MAX` while it is down.
+    pub troubled_at: u64,
+    /// It is gone for good.
+    pub removed: bool,
+    /// No power: it says nothing, not even that a port is closed.
+    pub dark: bool,
+    /// How far its time of day is from the true one.
+    skew: u64,
+}
+
+impl Machine {
+    pub fn new(n: usize, peers: Vec<SocketAddr>) -> Machine {
+        Machine {
+            addr: address(n),
+            node: format!("edge-{n}"),
+            zone: format!("z{}", n % 3),
+            peers,
+            bootstrap: true,
+            disk: Disk::default(),
+            process: None,
+            frozen_until: 0,
+            waits_until: 0,
+            slow_until: 0,
+            troubled_at: 0,
+            removed: false,
+            dark: false,
+            skew: (n as u64 * 7_919) % 200,
+        }
+    }
+
+    /// One that comes later, empty.
+    pub fn later(n: usize, peers: Vec<SocketAddr>) -> Machine {
+        Machine { bootstrap: false, ..Machine::new(n, peers) }
+    }
+
+    pub fn owner(&self) -> Option<&Owner> {
+        self.process.as_ref().map(|p| &p.owner)
+    }
+
+    /// Until when it stands still.
+    pub fn still_until(&self) -> u64 {
+        self.frozen_until.max(self.waits_until)
+    }
+
+    /// The identity of its disk, as members of views have it.
+    pub fn is(&self, member: &chain::Member) -> bool {
+        self.addr == member.addr && self.process.as_ref().is_none_or(|p| p.id == member.id)
+    }
+
+    pub fn is_up(&self) -> bool {
+        self.process.is_some()
+    }
+
+    fn settings(&self) -> Settings {
+        let peers: Vec<String> = self.peers.iter().map(|p| format!("\"{p}\"")).collect();
+        let text = format!(
+            "Node = \"{}\"\nRole = \"keeper\"\nMachineClass = \"edge\"\nServes = [\"ctl\"]\nIp = \"{}\"\nZone = \"{}\"\n\
+             Region = \"r\"\nPortRange = [{PEER},{}]\nPeers = [{}]\nBootstrap = {}\nVoting = true\nDataDir = \"/data\"\n\
+             HeartbeatMs = {HEARTBEAT}\n[Bind]\nCtl = \"{}\"\n[Limits]\nDiskMb = 64\n[FaultBudget]\nNodes = 1\n",
+            self.node,
+            self.addr.ip(),
+            self.zone,
+            PEER + 15,
+            peers.join(","),
+            self.bootstrap,
+            ctl(self.addr),
+        );
+        Settings::parse(&text).expect("settings")
+    }
+}
+
+/// The day's time, for the lines that keepers log.
+static NOW: AtomicU64 = AtomicU64::new(0);
+
+/// Prints what a keeper logs, with the day's time.
+struct Said(String);
+
+impl Drain for Said {
+    type Ok = ();
+    type Err = slog::Never;
+
+    fn log(&self, record: &Record, _: &OwnedKVList) -> Result<(), slog::Never> {
+        struct Line(String);
+        impl slog::Serializer for Line {
+            fn emit_arguments(&mut self, key: slog::Key, value: &std::fmt::Arguments) -> slog::Result {
+                self.0 += &format!(" {key}={value}");
+                Ok(())
+            }
+        }
+        let mut line = Line(String::new());
+        let _ = record.kv().serialize(record, &mut line);
+        println!("{:>7} {} {}{}", NOW.load(Ordering::Relaxed), self.0, record.msg(), line.0);
+        Ok(())
+    }
+}
+
+impl World {
+    fn logger(&self, node: &str) -> Logger {
+        if !self.log {
+            return Logger::root(slog::Discard, slog::o!());
+        }
+        Logger::root(Said(node.to_owned()), slog::o!())
+    }
+
+    pub fn start_keeper(&mut self, n: usize) {
+        if self.keepers[n].removed || self.keepers[n].is_up() {
+            return;
+        }
+        let life = self.life();
+        let drawn = self.dice.between(1, 1 << 60);
+        let log = self.logger(&self.keepers[n].node);
+        let now = self.now;
+        let machine = &mut self.keepers[n];
+        let fresh = machine.disk.identity.is_none();
+        let identity = *machine.disk.identity.get_or_insert(drawn);
+        // What is read back is synced before it is used.
+        machine.disk.safe = machine.disk.records.len();
+        machine.disk.waiting.clear();
+        machine.disk.busy = false;
+        let mut found = Found::default();
+        for (kind, body) in &machine.disk.records {
+            found.take(*kind as u8, body.clone());
+        }
+        let settings = machine.settings();
+        let (begin, record) = Begin::new(&settings, machine.addr, life, (fresh, identity), &found);
+        if let Some(record) = record {
+            machine.disk.records.push((Kind::Founding, record));
+            machine.disk.safe = machine.disk.records.len();
+        }
+        machine.bootstrap = false;
+        let id = begin.me.id;
+        let owner = Owner::new(begin, &found, settings, log).expect("records that were written");
+        machine.process = Some(Process { owner, id, life, began: now, ends: false });
+        machine.troubled_at = now;
+        machine.dark = false;
+        machine.frozen_until = 0;
+        self.note(|| format!("keeper {n} started"));
+        if self.dice.permille(300) {
+            self.compact(n);
+        }
+        self.carry_out(n);
+        self.after(1, Event::Tick { who: Actor::Keeper(n), life });
+    }
+
+    /// Begins the file anew.
+    fn compact(&mut self, n: usize) {
+        let machine = &mut self.keepers[n];
+        let Some(process) = &machine.process else { return };
+        if !machine.disk.waiting.is_empty() {
+            return;
+        }
+        let (views, writes) = process.owner.whole();
+        machine.disk.records.retain(|(kind, _)| *kind == Kind::Founding);
+        machine.disk.records.extend(views.into_iter().map(|body| (Kind::View, body)));
+        machine.disk.records.extend(writes.into_iter().map(|body| (Kind::Chain, body)));
+        machine.disk.safe = machine.disk.records.len();
+    }
+
+    /// Does something with a keeper that runs, at its own time.
+    fn with_owner(&mut self, n: usize, what: impl FnOnce(&mut Owner, u64, u64)) {
+        let unix = 1_700_000_000_000 + self.now + self.keepers[n].skew;
+        NOW.store(self.now, Ordering::Relaxed);
+        let now = self.now;
+        if let Some(process) = self.keepers[n].process.as_mut() {
+            what(&mut process.owner, now - process.began + 1, unix);
+            self.carry_out(n);
+        }
+    }
+
+    fn carry_out(&mut self, n: usize) {
+        let Some(process) = self.keepers[n].process.as_mut() else { return };
+        let (outs, addr) = (process.owner.take(), self.keepers[n].addr);
+        for out in outs {
+            match out {
+                Out::Tell { to, kind, body } => self.tell(addr, to, kind, body),
+                Out::Write { told, record } => {
+                    let disk = &mut self.keepers[n].disk;
+                    let kind = match told {
+                        Told::View(_) => Kind::View,
+                        Told::Chain(_) => Kind::Chain,
+                    };
+                    disk.records.push((kind, record));
+                    disk.waiting.push((disk.records.len(), told));
+                }
+                Out::Reply { call, answer } => self.keeper_answers(n, call, answer),
+            }
+        }
+        self.sync(n);
+        self.look_at_view(n);
+    }
+
+    /// Begins a sync of all that waits, if none is under way.
+    fn sync(&mut self, n: usize) {
+        let slow = self.keepers[n].slow_until > self.now;
+        let takes = if slow { self.dice.between(100, 900) } else { self.dice.between(1, 5) };
+        let machine = &mut self.keepers[n];
+        let Some(process) = &machine.process else { return };
+        if machine.disk.busy || machine.disk.waiting.is_empty() {
+            return;
+        }
+        machine.disk.busy = true;
+        let (life, upto) = (process.life, machine.disk.records.len());
+        self.after(takes, Event::Disk { keeper: n, life, upto });
+    }
+
+    pub fn disk_done(&mut self, n: usize, life: u64, upto: usize) {
+        let machine = &mut self.keepers[n];
+        if machine.process.as_ref().is_none_or(|p| p.life != life) {
+            return;
+        }
+        // The disk has it, also while the process stands still.
+        machine.disk.safe = machine.disk.safe.max(upto);
+        let frozen = machine.still_until();
+        if frozen > self.now {
+            return self.after(frozen - self.now, Event::Disk { keeper: n, life, upto });
+        }
+        machine.disk.busy = false;
+        let told = machine.disk.waiting.iter().take_while(|w| w.0 <= upto).map(|w| w.1);
+        let told: Vec<Told> = told.collect();
+        machine.disk.waiting.drain(..told.len());
+        self.with_owner(n, |owner, now, unix| owner.synced(now, unix, &told));
+        if self.dice.permille(5) {
+            self.compact(n);
+        }
+        self.sync(n);
+    }
+
+    pub fn tick_keeper(&mut self, n: usize, life: u64) {
+        let machine = &self.keepers[n];
+        let Some(process) = machine.process.as_ref().filter(|p| p.life == life) else { return };
+        if machine.still_until() > self.now {
+            let late = machine.still_until() - self.now;
+            return self.after(late, Event::Tick { who: Actor::Keeper(n), life });
+        }
+        if process.ends && process.owner.replaced() {
+            return self.ended(n, life);
+        }
+        self.with_owner(n, |owner, now, unix| owner.tick(now, unix));
+        let late = if self.dice.permille(50) { self.dice.below(40) } else { 1 };
+        self.after(TICK + late, Event::Tick { who: Actor::Keeper(n), life });
+    }
+
+    pub fn keeper_told(&mut self, n: usize, from: SocketAddr, kind: u16, body: &Bytes) {
+        let Some(peer) = self.peer(from) else { return };
+        self.with_owner(n, |owner, now, unix| owner.told(now, unix, &peer, kind, body));
+    }
+
+    /// As a process names itself in its hello.
+    fn peer(&self, addr: SocketAddr) -> Option<Peer> {
+        let (id, node, zone) = match self.actor(addr)? {
+            Actor::Keeper(n) => {
+                let machine = &self.keepers[n];
+                (machine.process.as_ref().map_or(0, |p| p.life), &machine.node, &machine.zone)
+            }
+            Actor::Dispatcher(n) => {
+                let d = &self.dispatchers[n];
+                (d.life(), &d.node, &d.zone)
+            }
+            Actor::Store(n) => {
+                let s = &self.stores[n];
+                (s.id, &s.node, &s.zone)
+            }
+        };
+        Some(Peer { addr, id, node: node.as_str().into(), zone: zone.as_str().into() })
+    }
+
+    pub fn call_arrived(&mut self, n: usize, call: u64, ask: Ask) {
+        let machine = &self.keepers[n];
+        if machine.still_until() > self.now {
+            return self.after(machine.still_until() - self.now, Event::Call { keeper: n, call, ask });
+        }
+        if machine.process.is_none() {
+            if !machine.dark && !machine.removed {
+                self.after(1, Event::Answer { call, answer: None });
+            }
+            return;
+        }
+        self.with_owner(n, |owner, now, unix| owner.asked(now, unix, call, ask));
+    }
+
+    /// The process ends at once; what it gave to the disk is there.
+    pub fn kill_keeper(&mut self, n: usize, back: u64) {
+        self.note(|| format!("keeper {n} killed, back in {back}"));
+        self.down(n);
+        self.after(back, Event::Start { who: Actor::Keeper(n) });
+    }
+
+    fn down(&mut self, n: usize) {
+        let machine = &mut self.keepers[n];
+        machine.process = None;
+        machine.troubled_at = u64::MAX;
+        let addr = machine.addr;
+        self.network.reset(addr);
+    }
+
+    /// Power goes: of what was not synced a part stays, or nothing.
+    pub fn power_off(&mut self, n: usize, back: u64) {
+        self.note(|| format!("keeper {n} lost power, back in {back}"));
+        self.down(n);
+        let disk = &mut self.keepers[n].disk;
+        let open = (disk.records.len() - disk.safe) as u64;
+        let stays = if self.dice.permille(500) { 0 } else { self.dice.below(open + 1) };
+        disk.records.truncate(disk.safe + stays as usize);
+        self.keepers[n].dark = true;
+        self.after(back, Event::Start { who: Actor::Keeper(n) });
+    }
+
+    /// It comes back with an empty disk.
+    pub fn wipe(&mut self, n: usize, back: u64) {
+        self.power_off(n, back);
+        self.note(|| format!("keeper {n} lost its disk"));
+        self.keepers[n].disk = Disk::default();
+    }
+
+    pub fn remove(&mut self, n: usize) {
+        self.note(|| format!("keeper {n} is gone for good"));
+        self.down(n);
+        self.keepers[n].removed = true;
+        self.keepers[n].dark = true;
+        self.keepers[n].troubled_at = self.now;
+    }
+
+    /// SIGTERM; SIGKILL follows when it does not end.
+    pub fn terminate(&mut self, n: usize) {
+        let Some(process) = self.keepers[n].process.as_mut() else { return };
+        process.ends = true;
+        let life = process.life;
+        self.keepers[n].troubled_at = u64::MAX;
+        self.note(|| format!("keeper {n} has SIGTERM"));
+        self.with_owner(n, |owner, now, unix| owner.stop(now, unix));
+        self.after(1_200, Event::End { keeper: n, life });
+    }
+
+    pub fn ended(&mut self, n: usize, life: u64) {
+        if self.keepers[n].process.as_ref().is_some_and(|p| p.life == life && p.ends) {
+            let back = self.dice.between(100, 3_000);
+            self.kill_keeper(n, back);
+        }
+    }
+
+    pub fn thaw(&mut self, who: Actor) {
+        self.note(|| format!("{who:?} goes on"));
+    }
+}
+
+impl Dice {
+    /// One of these.
+    pub fn pick<'a, T>(&mut self, of: &'a [T]) -> &'a T {
+        &of[self.below(of.len() as u64) as usize]
+    }
+}
--- a/crates/lots/src/table.rs
+++ b/crates/lots/src/table.rs
@@ -17,6 +17,10 @@
 const HEADER_COST: usize = 48;
 const LOT_COST: usize = 512;
 
+/// Bytes of a result for each token of its item: a token is four or five bytes of text, and about half of an item's
+/// tokens are its prompt.
+const TEXT_PER_TOKEN: u64 = 2;
+
 /// Kind and version of a snapshot's first bytes.
 const SNAPSHOT_MAGIC: u32 = 0x4c4f_5401;
 
@@ -230,6 +234,13 @@
         self.bytes
     }
 
+    /// About how many bytes they will need once all that waits is done: what is taken must still fit then.
+    pub fn expected_bytes(&self) -> usize {
+        let tokens = self.waiting.values().fold(0u64, |sum, tokens| sum.saturating_add(*tokens));
+        let texts = usize::try_from(tokens.saturating_mul(TEXT_PER_TOKEN)).unwrap_or(usize::MAX);
+        self.bytes.saturating_add(texts)
+    }
+
     /// How many commands made no sense: a fault of a store's program.
     pub fn refused(&self) -> u64 {
         self.refused
--- a/crates/lots/src/wire/map.rs
+++ b/crates/lots/src/wire/map.rs
@@ -90,7 +90,7 @@
     pub lots: u32,
 }
 
-/// A store's word to the keepers, every [`BEAT_EVERY_MS`].
+/// A store's word to the keepers, every [`BEAT_EVERY_MS`](super::BEAT_EVERY_MS).
 #[binrw]
 #[brw(little)]
 #[derive(Clone, Debug, PartialEq)]
--- a/crates/lots/src/wire/work.rs
+++ b/crates/lots/src/wire/work.rs
@@ -33,7 +33,7 @@
 pub struct FetchCall {
     /// Who asks: the id of the carrier's process.
     pub holder: u64,
-    /// How long the answer may be held until there is an item (at most [`MAX_WAIT_MS`]).
+    /// How long the answer may be held until there is an item (at most [`MAX_WAIT_MS`](super::MAX_WAIT_MS)).
     pub wait_ms: u32,
     /// What it can run.
     #[br(parse_with = list, args(MAX_LIST))]
@@ -207,7 +207,7 @@
     pub held: Vec<Held>,
 }
 
-/// All that a carrier holds of the partitions of which the called store is head, every [`HOLD_EVERY_MS`].
+/// All that a carrier holds of the partitions of which the called store is head, every [`HOLD_EVERY_MS`](super::HOLD_EVERY_MS).
 #[binrw]
 #[brw(little)]
 #[derive(Clone, Debug, PartialEq, Eq)]
--- a/crates/store/src/core.rs
+++ b/crates/store/src/core.rs
@@ -21,6 +21,8 @@
 const GRANT_LATE_MS: Ms = 900;
 /// From so many hundredths of the disk on, lots are refused: results and copies still need room.
 const DISK_FULL_PERCENT: u64 = 85;
+/// A disk that is behind for so long may stay so; writing the ring anew takes less.
+const BEHIND_MS: Ms = 1_000;
 /// A sync that took so long is told in the log.
 const SLOW_SYNC_MS: u64 = 200;
 
@@ -84,6 +86,12 @@
     pub sync_ms: u64,
 }
 
+impl Disk {
+    fn is_full(&self) -> bool {
+        self.size > 0 && self.used * 100 >= self.size * DISK_FULL_PERCENT
+    }
+}
+
 /// What one frame turned out to be.
 #[derive(Debug, thiserror::Error)]
 pub enum Odd {
@@ -110,6 +118,7 @@
     beaten_at: Option<Ms>,
     fetches: Fetches<R>,
     disk: Disk,
+    behind_since: Option<Ms>,
     leaving: bool,
     closed: bool,
     effects: Vec<Effect>,
@@ -136,6 +145,7 @@
             beaten_at: None,
             fetches: Fetches::new(),
             disk: Disk::default(),
+            behind_since: None,
             leaving: false,
             closed: false,
             effects: Vec::new(),
@@ -165,9 +175,9 @@
         parts.filter_map(|(part, number)| part.as_ref().map(|part| (number, part.node())))
     }
 
-    /// Bytes of memory that all its lots need.
+    /// Bytes of memory that all its lots will need.
     pub fn bytes(&self) -> usize {
-        self.held().map(|(_, node)| node.machine().bytes()).sum()
+        self.held().map(|(_, node)| node.machine().expected_bytes()).fold(0, usize::saturating_add)
     }
 
     /// Where keepers are, the head first where known.
@@ -176,8 +186,7 @@
     }
 
     fn turn(&self, now: Ms) -> Turn {
-        let full = self.disk.behind
-            || self.disk.used * 100 >= self.disk.size * DISK_FULL_PERCENT && self.disk.size > 0;
+        let full = self.is_behind(now) || self.disk.is_full();
         Turn {
             now,
             leased: now < self.leased_until,
@@ -187,18 +196,28 @@
         }
     }
 
+    fn is_behind(&self, now: Ms) -> bool {
+        self.behind_since.is_some_and(|since| now.saturating_sub(since) >= BEHIND_MS)
+    }
+
     /// How the disk stands, told now and then.
     pub fn disk(&mut self, now: Ms, disk: Disk) {
         self.disk = disk;
+        self.behind_since = if disk.behind { self.behind_since.or(Some(now)) } else { None };
         if disk.sync_ms >= SLOW_SYNC_MS {
             if let Some(left_out) = self.seldom.now(now, "slow") {
                 warn!(self.log, "disk slow"; "code" => 2201, "sync_ms" => disk.sync_ms, "left_out" => left_out);
             }
         }
-        if disk.behind || disk.used * 100 >= disk.size * DISK_FULL_PERCENT && disk.size > 0 {
+        if disk.is_full() {
             if let Some(left_out) = self.seldom.now(now, "full") {
                 warn!(self.log, "disk full: lots are refused"; "code" => 2202, "used" => disk.used,
-                    "size" => disk.size, "behind" => disk.behind, "left_out" => left_out);
+                    "size" => disk.size, "left_out" => left_out);
+            }
+        }
+        if self.is_behind(now) {
+            if let Some(left_out) = self.seldom.now(now, "behind") {
+                warn!(self.log, "disk behind: lots are refused"; "code" => 2207, "left_out" => left_out);
             }
         }
     }
--- a/crates/store/src/journal.rs
+++ b/crates/store/src/journal.rs
@@ -147,16 +147,15 @@
 }
 
 impl Journal {
-    /// A journal on an opened ring, of which `found` bytes were read back.
-    pub fn new(ring: DiskRing, found: u64) -> Self {
+    /// A journal on an opened ring, of which `found` bytes were read back and `live` bytes are of use.
+    pub fn new(ring: DiskRing, found: u64, live: u64) -> Self {
         Self {
             ring,
             queue: VecDeque::new(),
             waiting: VecDeque::new(),
             anew: None,
-            // How much of it is of use shows when it is written anew for the first time.
-            since: found,
-            live: 0,
+            since: found.saturating_sub(live),
+            live,
             failed: false,
         }
     }
--- a/crates/store/src/process.rs
+++ b/crates/store/src/process.rs
@@ -3,7 +3,7 @@
 use crate::journal::{read_back, BadRecord, Journal};
 use crate::{Effect, Store, Terms};
 use bytes::Bytes;
-use disk_ring::{DiskError, Opened, Options};
+use disk_ring::{DiskError, DiskRing, Opened, Options};
 use lots::wire::{Message, StoreMap};
 use peer_link::{Handler, Links, Me, Peer, Reply};
 use relay_tree::{Board, Follow};
@@ -99,7 +99,8 @@
 }
 
 struct Found {
-    journal: Journal,
+    ring: DiskRing,
+    bytes: u64,
     parts: Vec<(u16, chain::Recovered)>,
     identity: u64,
 }
@@ -112,7 +113,7 @@
         let bytes = records.iter().map(|(_, record)| record.body.len() as u64).sum();
         info!(log, "disk opened"; "records" => records.len(), "bytes" => bytes, "fresh" => fresh, "torn" => torn);
         let parts = read_back(records)?;
-        Ok(Found { journal: Journal::new(ring, bytes), parts, identity })
+        Ok(Found { ring, bytes, parts, identity })
     };
     match read() {
         Err(why @ (Ended::Disk(DiskError::Corrupt { .. }) | Ended::Record(_))) => {
@@ -277,7 +278,7 @@
     let disk_mb = settings.limits.disk_mb.ok_or(Ended::Lacks("Limits.DiskMb"))?;
     let files_most = ((disk_mb as f64 * 1.0e6 * DISK_SHARE) as u64 / FILE_BYTES).clamp(2, 4_096) as usize;
     let listener = listen(addr)?;
-    let Found { journal, parts, identity } =
+    let Found { ring, bytes, parts, identity } =
         open_disk(&dir, Options { file_bytes: FILE_BYTES, files_most }, &log)?;
     let terms = Terms {
         addr,
@@ -286,14 +287,18 @@
         zone: settings.zone.clone(),
         poll_ms: settings.bounds.poll_ms,
         least: settings.budget.nodes as usize + 1,
-        most_bytes: usize::try_from(settings.limits.ram_mb * 1_000_000 / MEMORY_PART).unwrap_or(usize::MAX),
+        most_bytes: usize::try_from(settings.limits.ram_mb * 1_000_000 / MEMORY_PART)
+            .unwrap_or(usize::MAX)
+            .min(chain::MOST_SNAPSHOT_BYTES as usize * 7 / 8),
     };
     info!(log, "starting"; "addr" => %addr, "id" => identity, "partitions" => parts.len());
     let me = Me { addr, id: identity, node: settings.node.clone(), zone: settings.zone.clone() };
-    let mut synced = journal.watch();
+    let mut synced = ring.synced();
+    let store = Store::new(terms, parts, log.clone());
+    let live = store.held().map(|(_, node)| node.machine().bytes() as u64).sum();
     let process = Rc::new(Process {
-        store: RefCell::new(Store::new(terms, parts, log.clone())),
-        journal: RefCell::new(Some(journal)),
+        store: RefCell::new(store),
+        journal: RefCell::new(Some(Journal::new(ring, bytes, live))),
         board: RefCell::new(Board::new(draw(), addr, Follow::First, false).with_id(identity)),
         links: Links::new(me),
         keepers: RefCell::new((settings.keeper_peers(), Vec::new())),
