--- a/crates/keeper/src/owner/calls.rs
+++ b/crates/keeper/src/owner/calls.rs
@@ -21,8 +21,8 @@
 
 /// What waits for something to become true.
 pub(crate) enum Pending {
-    /// A configuration, until it is in force.
-    Put { gen: u64, change: Change, call: u64, since: Ms },
+    /// A configuration, until it is in force. `number` is its place in the chain, or a later one.
+    Put { change: Change, number: u64, call: u64, since: Ms },
     /// A reader at the tail, until a majority has said that its view is the newest and all it saw is kept.
     Get { token: u64, sure: bool, number: u64, call: u64, since: Ms },
     /// A runner that leaves, until another keeper knows.
@@ -75,7 +75,8 @@
         let control = self.node.machine();
         if let Some(gen) = control.took(base, &digest) {
             let change = Change { base, gen, digest };
-            self.pending.push(Pending::Put { gen, change, call, since: now });
+            let number = self.node.received();
+            self.pending.push(Pending::Put { change, number, call, since: now });
             return None;
         }
         if base != control.gen() {
@@ -95,7 +96,7 @@
         let command = Command::Config { change, body: body.to_vec() }.encode();
         let Some(number) = self.node.propose(now, command) else { return Some(repaired()) };
         info!(self.log, "configuration ordered"; "gen" => config.gen, "base" => base, "number" => number);
-        self.pending.push(Pending::Put { gen: config.gen, change, call, since: now });
+        self.pending.push(Pending::Put { change, number, call, since: now });
         None
     }
 
@@ -234,11 +235,14 @@
     /// The answer to what waits; none while it is open.
     fn outcome(&self, now: Ms, pending: &Pending) -> Option<Answer> {
         match pending {
-            Pending::Put { gen, change, since, .. } => {
+            Pending::Put { change, number, since, .. } => {
                 let active = self.board.get("config/active").map_or(0, |f| f.stamp.0);
                 let leads = self.node.is_head();
-                let taken = self.node.machine().took(change.base, &change.digest) == Some(*gen);
-                if active >= *gen && taken && leads {
+                let taken = self.node.machine().took(change.base, &change.digest) == Some(change.gen);
+                // That its number is in force says nothing by itself: another keeper may lead by now, and may have taken
+                // another change under the same number.
+                let kept = self.node.committed_by(self.least()) >= *number;
+                if active >= change.gen && taken && kept && leads {
                     return Some(Answer::ok());
                 }
                 let over = !taken || !leads || now > since + WAITING_MOST;
--- a/crates/keeper/tests/world/clients.rs
+++ b/crates/keeper/tests/world/clients.rs
@@ -29,10 +29,10 @@
 
 pub struct Operator {
     turn: u64,
-    hops: u32,
+    pub hops: u32,
     refusals: u32,
     pause: u64,
-    target: usize,
+    pub target: usize,
     pub put: Option<Put>,
     /// A reader: what was acknowledged when it asked, and since when it has had no answer.
     asked_at: u64,
@@ -147,18 +147,19 @@
     /// Begins another change, or sends the present one again.
     fn operator_goes_on(&mut self, n: usize) {
         if self.operators[n].put.is_none() {
-            if self.closed {
+            if self.closed || self.plan.told {
                 return;
             }
             let put = self.draw_put();
             self.checker.sent(&put);
             let (gen, base, valid) = (put.gen, put.base, put.valid);
             self.note(|| format!("operator {n} sends {gen} on {base}, valid: {valid}"));
-            if self.dice.permille(150) {
+            if self.dice.permille(self.plan.races) {
                 // The other one sends at the same time, on the same version.
                 let other = 1 - n;
                 if self.operators[other].put.is_none() {
-                    let above = self.dice.between(1, 4);
+                    let same = self.dice.permille(500) && put.gen > put.base;
+                    let above = if same { put.gen - put.base } else { self.dice.between(1, 4) };
                     let rival = self.draw_put_on(put.base, put.base + above, true);
                     self.checker.sent(&rival);
                     self.operators[other].put = Some(rival);
@@ -178,7 +179,7 @@
         self.send_put_to(n, keeper);
     }
 
-    fn send_put_to(&mut self, n: usize, keeper: usize) {
+    pub fn send_put_to(&mut self, n: usize, keeper: usize) {
         let operator = &mut self.operators[n];
         operator.turn += 1;
         let turn = operator.turn;
@@ -193,7 +194,7 @@
         self.draw_put_on(base, gen, valid)
     }
 
-    fn draw_put_on(&mut self, base: u64, gen: u64, valid: bool) -> Put {
+    pub fn draw_put_on(&mut self, base: u64, gen: u64, valid: bool) -> Put {
         let mark = self.life();
         let fill = if self.dice.permille(80) {
             "x".repeat(self.dice.below(400_000) as usize)
--- a/crates/keeper/tests/world/day.rs
+++ b/crates/keeper/tests/world/day.rs
@@ -17,7 +17,7 @@
     WipeAndPower,
 }
 
-const CLOSINGS: [Closing; 5] =
+pub const CLOSINGS: [Closing; 5] =
     [Closing::Nothing, Closing::Kill, Closing::Power, Closing::Wipe, Closing::WipeAndPower];
 
 /// What a day is like.
@@ -30,11 +30,23 @@
     /// Only this kind of fault.
     pub kind: Option<u64>,
     pub closing: Option<Closing>,
+    /// So many of a thousand changes are sent by both operators at a time.
+    pub races: u64,
+    /// Operators do only what a test tells them.
+    pub told: bool,
 }
 
 impl Default for Plan {
     fn default() -> Plan {
-        Plan { keepers: None, faults: 4, first_fault: 7_000, kind: None, closing: None }
+        Plan {
+            keepers: None,
+            faults: 4,
+            first_fault: 7_000,
+            kind: None,
+            closing: None,
+            races: 150,
+            told: false,
+        }
     }
 }
 
@@ -196,7 +208,7 @@
         self.keepers[m].troubled_at = until;
     }
 
-    fn cut_around(&mut self, n: usize, until: u64, (out, into): (bool, bool), from_all: bool) {
+    pub fn cut_around(&mut self, n: usize, until: u64, (out, into): (bool, bool), from_all: bool) {
         let own = self.keepers[n].addr;
         let mut others: Vec<_> = self.keepers.iter().map(|k| k.addr).filter(|a| *a != own).collect();
         if from_all {
--- a/crates/keeper/tests/world/mod.rs
+++ b/crates/keeper/tests/world/mod.rs
@@ -9,7 +9,7 @@
 mod stores;
 
 pub use checker::Checker;
-pub use day::{Closing, Plan};
+pub use day::{Closing, Plan, CLOSINGS};
 
 use bytes::Bytes;
 use clients::{Calls, Operator, RunnerStandIn};
@@ -206,7 +206,7 @@
             let after = self.dice.below(300);
             self.after(after, Event::Start { who });
         }
-        for n in 0..self.operators.len() {
+        for n in 0..if self.plan.told { 0 } else { self.operators.len() } {
             let after = self.dice.between(500, 1_500);
             self.after(after, Event::Wake { client: Client::Operator(n), turn: 0 });
         }
@@ -251,6 +251,17 @@
         self.now = self.now.max(until);
     }
 
+    /// An operator sends a change to this keeper.
+    pub fn change(&mut self, operator: usize, keeper: usize, base: u64, gen: u64) {
+        let put = self.draw_put_on(base, gen, true);
+        self.checker.sent(&put);
+        self.note(|| format!("operator {operator} sends {gen} on {base} to {keeper}"));
+        self.operators[operator].put = Some(put);
+        self.operators[operator].hops = 0;
+        self.operators[operator].target = keeper;
+        self.send_put_to(operator, keeper);
+    }
+
     /// Plays a whole day; what was broken.
     pub fn day(&mut self) -> Option<String> {
         while self.checker.broken.is_none() && self.ends_at.is_none_or(|at| self.now < at) {
