--- a/crates/engine-choice/src/constants.rs
+++ b/crates/engine-choice/src/constants.rs
@@ -177,6 +177,9 @@
 pub const ITEMS_LEAST: f64 = 0.25;
 /// An item due within this takes the reserve as well, more of it the nearer: it is worth most until then.
 pub const HURRY_MS: f64 = 3_000.0;
+/// Items due later than this leave the whole reserve free even of one that the fleet as a whole seems to have room for; the
+/// nearer they are due, the less of it. Several times [`HURRY_MS`], so that what waits still has time to be run.
+pub const RELAXED_MS: f64 = 9_000.0;
 /// Weight of a runner whose last word is old and whose room seems gone: it stays in the draw, as in the
 /// design.
 pub const ROOM_FLOOR: f64 = 0.05;
--- a/crates/engine-choice/src/items.rs
+++ b/crates/engine-choice/src/items.rs
@@ -40,6 +40,9 @@
     pub fn item_room(&self, now: Ms, svc: &str) -> u32 {
         let Some(svc) = self.svc_at(svc).and_then(|at| self.svcs.get(at)) else { return 0 };
         let reserve = self.reserve(svc);
+        if self.items_give_way(now, svc, reserve) {
+            return 0;
+        }
         // In a large fleet a part of it speaks for all; which part changes with time.
         let len = svc.members.len();
         let looked = len.min(SCAN);
@@ -65,6 +68,14 @@
         }
     }
 
+    /// Whether items wait because the whole fleet is full and they have time to spare: a live request that comes would
+    /// wait behind them. The nearer they are due, the more of the reserve they may use.
+    fn items_give_way(&self, now: Ms, svc: &Svc, reserve: f64) -> bool {
+        let slack = svc.item_slack(now);
+        let most = 1.0 - reserve * (slack / RELAXED_MS).min(1.0);
+        slack >= HURRY_MS && svc.usage(now).is_some_and(|usage| usage >= most)
+    }
+
     /// A runner that an item may be pushed to by its sleeper, its health and its connections.
     fn item_open(&self, now: Ms, svc: &Svc, key: RunnerKey) -> Option<&Runner> {
         let r = self.at(key).filter(|r| r.up && r.sleeper.open(now))?;
--- a/crates/engine-choice/src/outcome.rs
+++ b/crates/engine-choice/src/outcome.rs
@@ -65,6 +65,9 @@
             svc.own += 1;
             svc.live_mean += (f64::from(svc.live) - svc.live_mean) / MEMORY;
             svc.items_unread += f64::from(u8::from(item));
+            if item {
+                svc.item_due = now + Ms::from(want.left_ms);
+            }
             svc.live += u32::from(!item);
             svc.tokens += (tokens - svc.tokens) / MEMORY;
             svc.unread += (unread - svc.unread) / MEMORY;
--- a/crates/engine-choice/src/service.rs
+++ b/crates/engine-choice/src/service.rs
@@ -104,6 +104,8 @@
     /// Items of this dispatcher without a first token, and the objective of live requests.
     pub(crate) items_unread: f64,
     pub(crate) target: f64,
+    /// When the item that was sent last is due.
+    pub(crate) item_due: Ms,
     /// Live requests of this dispatcher in flight, now and on average.
     pub(crate) live: u32,
     pub(crate) live_mean: f64,
@@ -130,6 +132,7 @@
             own: 0,
             items_unread: 0.0,
             target: TARGET_MS,
+            item_due: 0,
             live: 0,
             live_mean: 0.0,
             parts: Parts::default(),
@@ -155,6 +158,17 @@
         self.others * OTHERS_HALF_MS / (OTHERS_HALF_MS + now.saturating_sub(self.others_at) as f64)
     }
 
+    /// Share of the slots in use, requests that wait for one included; none where no runner spoke lately.
+    pub(crate) fn usage(&self, now: Ms) -> Option<f64> {
+        let recent = self.others_at > 0 && now.saturating_sub(self.others_at) as f64 <= OTHERS_HALF_MS;
+        recent.then(|| self.others + f64::from(self.own) / self.slots.max(1.0))
+    }
+
+    /// Milliseconds until the next items are due: stores give the oldest due first, so no earlier than the last one was.
+    pub(crate) fn item_slack(&self, now: Ms) -> f64 {
+        self.item_due.saturating_sub(now) as f64
+    }
+
     /// Tokens of a prompt, as far as they are to be believed.
     pub(crate) fn prompt(&self, want: &Want) -> f64 {
         f64::from(want.tokens_in).min(self.kv_capacity.unwrap_or(MAX_TOKENS))
--- a/crates/engine-choice/tests/choice.rs
+++ b/crates/engine-choice/tests/choice.rs
@@ -371,6 +371,55 @@
     assert_eq!(engines.item_room(1_031, SVC), 0);
 }
 
+/// A fleet of eight runners, all full but one, and an item on its way that is due so long after its sending.
+fn nearly_full_fleet(item_left_ms: u32) -> Engines {
+    let mut engines = engines(6, 8, 10, llm(220, 4_000_000), 1);
+    let keys = keys(&engines, 8);
+    let item = Want { repeatable: true, left_ms: item_left_ms, ..want(300, 100) };
+    let send = engines.sent(1_000, keys[0], &item, true);
+    engines.first_token(1_010, send);
+    for now in 1_010..1_060 {
+        for key in &keys {
+            let (running, waiting) = if *key == keys[7] { (4, 0) } else { (10, 2) };
+            engines.load(now, *key, running, waiting, 10);
+        }
+    }
+    engines
+}
+
+#[test]
+fn an_item_with_time_to_spare_waits_while_the_fleet_as_a_whole_is_full() {
+    assert_eq!(nearly_full_fleet(20_000).item_room(1_060, SVC), 0, "one runner has room, the fleet has none");
+    assert!(nearly_full_fleet(2_000).item_room(1_060, SVC) >= 1, "it is due soon");
+    let mut unheard = nearly_full_fleet(20_000);
+    assert!(unheard.item_room(4_000, SVC) >= 1, "what was said long ago is no reason to wait");
+    for now in 4_000..4_050 {
+        keys(&unheard, 8).into_iter().for_each(|key| unheard.load(now, key, 4, 0, 10));
+    }
+    assert!(unheard.item_room(4_050, SVC) >= 1, "there is room again");
+}
+
+#[test]
+fn the_nearer_items_are_due_the_more_of_the_reserve_they_may_use() {
+    let is_open = |item_left_ms| {
+        let mut engines = engines(6, 8, 100, llm(2_200, 40_000_000), 1);
+        let keys = keys(&engines, 8);
+        let item = Want { repeatable: true, left_ms: item_left_ms, ..want(300, 100) };
+        let send = engines.sent(1_000, keys[0], &item, true);
+        engines.first_token(1_010, send);
+        for now in 1_010..1_060 {
+            for key in &keys {
+                engines.load(now, *key, if *key == keys[7] { 68 } else { 100 }, 0, 100);
+            }
+        }
+        engines.item_room(1_060, SVC) > 0
+    };
+    assert!(
+        !is_open(60_000) && is_open(4_000),
+        "0.96 full, of which six hundredths are kept for live requests"
+    );
+}
+
 #[test]
 fn an_item_waits_out_the_interval_of_a_runner_that_refused_one() {
     let mut engines = engines(6, 1, 20, llm(220, 4_000_000), 1);
