Batch jobs are sent away early while no store can say whether they fit

Cause: after two stores had lost their disks no reservation was granted or refused for 2.7 s: 0.6 s of that after the chains were whole, since an audit that met a chain not yet whole was dropped and asked again only after 0.6 s. Ruled out: the copy of the partitions (all chains took commands again after 1.1 s), the items' runs (all done within their time). Change: the home partition's head says at once that a grant is being written or that it can't know soon; without a note for 90 ms, or with a chain that commits nothing for 200 ms, the job is sent away at once and its client told to come again in a second. An audit that has to wait is answered when the chain moves; after a change of heads it is asked again at once. The new word is lost, doubled and late like the others.

--- a/crates/batch-store/src/core.rs
+++ b/crates/batch-store/src/core.rs
@@ -10,7 +10,7 @@
 use crate::part::{Act, Part, Turn};
 use batch::wire::{
     ChainFrame, FetchAnswer, Grant, Heartbeat, Message, PartStatus, Placement, StoreMap, WireError, AUDIT,
-    CHAIN, GRANT, GRANTED, HEARTBEAT, HEARTBEAT_INTERVAL_MS, LEFT, MOST_PARTITIONS, RESERVE,
+    CHAIN, GRANT, GRANTED, HEARTBEAT, HEARTBEAT_INTERVAL_MS, LEFT, MOST_PARTITIONS, RESERVE, RESERVE_NOTE,
 };
 use bytes::Bytes;
 use chain::{Member, Ms, Msg, Recovered, Write};
@@ -382,7 +382,8 @@
                 self.effects.push(Effect::Void { part: number });
             }
         }
-        self.map = Some(map);
+        let before = self.map.replace(map);
+        self.heads_changed(before.as_ref());
         for number in 0..self.parts.len() {
             self.after(turn, number);
         }
@@ -415,7 +416,7 @@
                 self.granted(now, &grant);
                 Ok(())
             }
-            RESERVE | GRANTED | AUDIT | LEFT => self.quota_word(now, kind, body),
+            RESERVE | RESERVE_NOTE | GRANTED | AUDIT | LEFT => self.quota_word(now, kind, body),
             _ => Err(Odd::Kind),
         }
     }
--- a/crates/batch-store/src/core/quota.rs
+++ b/crates/batch-store/src/core/quota.rs
@@ -2,7 +2,10 @@
 
 use super::{Odd, Store};
 use crate::answer::Answer;
-use batch::wire::{AuditCall, GrantedWord, LeftWord, Message, ReserveCall, AUDIT, GRANTED, LEFT, RESERVE};
+use batch::wire::{
+    AuditCall, GrantedWord, LeftWord, Message, ReserveCall, ReserveNote, StoreMap, AUDIT, GRANTED, LEFT,
+    RESERVE, RESERVE_NOTE,
+};
 use bytes::Bytes;
 use chain::Ms;
 
@@ -22,6 +25,14 @@
                 }
                 home
             }
+            RESERVE_NOTE => {
+                let note = ReserveNote::decode(body)?;
+                let number = usize::from(note.partition);
+                if let Some(part) = self.head(number) {
+                    part.reserve_noted(turn, &note);
+                }
+                number
+            }
             GRANTED => {
                 let word = GrantedWord::decode(body)?;
                 let number = usize::from(word.partition);
@@ -51,4 +62,16 @@
         self.after(turn, number);
         Ok(())
     }
+
+    /// A map with other heads is in force: what was asked of the heads before them is asked again.
+    pub(super) fn heads_changed(&mut self, before: Option<&StoreMap>) {
+        let (Some(before), Some(map)) = (before, self.map.as_ref()) else { return };
+        let head =
+            |map: &StoreMap, number: usize| map.partitions.get(number)?.members.first().map(|m| m.addr);
+        let changed = |number: &u16| head(before, (*number).into()) != head(map, (*number).into());
+        let changed: Vec<u16> = (0u16..).take(map.partitions.len()).filter(changed).collect();
+        for part in self.parts.iter_mut().flatten() {
+            part.heads_changed(&changed);
+        }
+    }
 }
--- a/crates/batch-store/src/part.rs
+++ b/crates/batch-store/src/part.rs
@@ -6,8 +6,8 @@
 use crate::answer::Answer;
 use crate::pace::Pace;
 use batch::wire::{
-    BodyAnswer, BodyCall, DoneAnswer, EndAnswer, GrantedWord, LeftWord, Message, ReadAnswer, ReadCall,
-    SubmitAnswer, GRANTED, LEFT,
+    AuditCall, BodyAnswer, BodyCall, DoneAnswer, EndAnswer, GrantedWord, LeftWord, Message, ReadAnswer,
+    ReadCall, SubmitAnswer, GRANTED, LEFT,
 };
 use batch::{BatchJobs, Owner, QuotaOwner};
 use bytes::Bytes;
@@ -58,6 +58,10 @@
     TellHead(usize, u16, Bytes),
 }
 
+/// A chain that commits nothing for so long, and has something to, does not do so soon. Above what a chain takes whose members
+/// sync one after the other on slow disks.
+const STALLED_MS: Ms = 200;
+
 enum Wait<R> {
     /// A batch job of which the taking was proposed (`fresh`), or which was in the table.
     Submit {
@@ -128,8 +132,11 @@
     reserving: Reserving<R>,
     /// Where this is a home partition: who is asked about reservations.
     quota: QuotaOwner,
+    late_audit: Option<AuditCall>,
     role: Role,
     unready_since: Option<Ms>,
+    /// When something was committed last, or became the only thing to be.
+    progress_at: Ms,
     caught_up: bool,
     acts: Vec<Act>,
     log: Logger,
@@ -150,6 +157,7 @@
             node: Node::new(me, BatchJobs::new(), recovered),
             reserving: Reserving::new(addr, incarnation),
             quota: QuotaOwner::new(number, addr, incarnation),
+            late_audit: None,
             head: None,
             waits: VecDeque::new(),
             reads: Vec::new(),
@@ -159,6 +167,7 @@
             uncommitted_bytes: 0,
             role: Role::default(),
             unready_since: None,
+            progress_at: 0,
             caught_up: false,
             acts: Vec::new(),
             log,
@@ -218,6 +227,7 @@
         }
         self.see_role(turn);
         if committed {
+            self.progress_at = turn.now;
             self.release(turn);
         }
     }
@@ -359,6 +369,9 @@
                 self.begin_head(turn);
                 return false;
             };
+            if self.uncommitted.is_empty() {
+                self.progress_at = turn.now;
+            }
             self.uncommitted.push_back((number, len));
             self.uncommitted_bytes += len;
         }
@@ -415,6 +428,11 @@
         self.answer_paced(turn);
     }
 
+    /// Whether the chain has commits to make and makes none: a member is gone, or its disk hangs.
+    fn is_stalled(&self, now: Ms) -> bool {
+        !self.uncommitted.is_empty() && now.saturating_sub(self.progress_at) >= STALLED_MS
+    }
+
     /// Sends all who wait away: this store ends, or is not of the chain any more.
     pub fn close(&mut self) {
         self.reserving.send_away();
--- a/crates/batch-store/src/part/calls.rs
+++ b/crates/batch-store/src/part/calls.rs
@@ -19,7 +19,7 @@
     /// A batch job for the head.
     pub fn submit(&mut self, turn: Turn, call: SubmitCall, reply: R) {
         let unready = self.unready_since.is_some_and(|since| turn.now.saturating_sub(since) >= UNREADY_MS);
-        if unready || self.is_full() || !self.enough(turn) {
+        if unready || self.is_stalled(turn.now) || self.is_full() || !self.enough(turn) {
             // `Busy` promises that nothing of it runs, which can't be said of a batch job that is in the table.
             let known = self.node.machine().batch_job(&call.batch_job).is_some();
             let answer = if known { SubmitAnswer::Unsure } else { SubmitAnswer::Busy };
--- a/crates/batch-store/src/part/quota.rs
+++ b/crates/batch-store/src/part/quota.rs
@@ -3,8 +3,8 @@
 use super::{Act, Part, Turn, Wait};
 use crate::answer::Answer;
 use batch::wire::{
-    home_of, AuditCall, GrantedWord, Left, LeftWord, Message, ReserveCall, SubmitAnswer, SubmitCall, AUDIT,
-    GRANTED, RESERVE,
+    home_of, AuditCall, GrantedWord, Left, LeftWord, Message, ReserveCall, ReserveNote, SubmitAnswer,
+    SubmitCall, AUDIT, GRANTED, RESERVE, RESERVE_NOTE,
 };
 use batch::{most_tokens, Decision, Quota};
 use chain::Ms;
@@ -13,9 +13,13 @@
 use std::net::SocketAddr;
 
 /// The home partition is asked again after so long: a word may be lost, its head another one.
-const AGAIN_MS: Ms = 60;
+const AGAIN_MS: Ms = 40;
 /// A batch job waits so long for its grant: its gateway waits for one store for 700 ms, and must hear that nothing was taken.
 const PATIENCE_MS: Ms = 550;
+/// A home partition that has said nothing of an asking for so long, not even that a grant is being written, has no head that could
+/// answer soon, or one that can't know yet. The batch job is sent away then: its client comes again in a moment, and is served in
+/// time by its new try. It was asked again meanwhile.
+const UNHEARD_MS: Ms = 90;
 /// The most audits of a partition that wait for their commit.
 const MOST_AUDITS: usize = 4;
 /// The most batch jobs that wait for their grants in one partition.
@@ -25,6 +29,8 @@
     call: ReserveCall,
     until: Ms,
     asked_at: Ms,
+    /// When it was asked first, or said last that its word is about to follow.
+    heard_at: Ms,
     /// All tries of the batch job that have come meanwhile.
     tries: Vec<(SubmitCall, R)>,
 }
@@ -35,11 +41,13 @@
     incarnation: u64,
     nonce: u64,
     batch_jobs: BTreeMap<CompactString, Asking<R>>,
+    /// Notes were heard: home partitions' heads of the version before say none, and their silence means nothing.
+    hears_notes: bool,
 }
 
 impl<R: Answer> Reserving<R> {
     pub fn new(addr: SocketAddr, incarnation: u64) -> Self {
-        Self { addr, incarnation, nonce: 0, batch_jobs: BTreeMap::new() }
+        Self { addr, incarnation, nonce: 0, batch_jobs: BTreeMap::new(), hears_notes: false }
     }
 
     fn is_waiting(&self, batch_job: &str) -> bool {
@@ -92,8 +100,40 @@
         let home = home_of(&call.host, turn.partitions);
         self.acts.push(Act::TellHead(home, RESERVE, asked.encode()));
         let batch_job = call.batch_job.clone();
-        let (until, tries) = (turn.now + PATIENCE_MS, vec![(call, reply)]);
-        reserving.batch_jobs.insert(batch_job, Asking { call: asked, until, asked_at: turn.now, tries });
+        let now = turn.now;
+        let asking = Asking {
+            call: asked,
+            until: now + PATIENCE_MS,
+            asked_at: now,
+            heard_at: now,
+            tries: vec![(call, reply)],
+        };
+        reserving.batch_jobs.insert(batch_job, asking);
+    }
+
+    /// What the home partition's head says before its word.
+    pub fn reserve_noted(&mut self, turn: Turn, note: &ReserveNote) {
+        self.reserving.hears_notes = true;
+        let Some(asking) = self.reserving.batch_jobs.get_mut(&note.batch_job) else { return };
+        if (asking.call.incarnation, asking.call.nonce) != (note.incarnation, note.nonce) {
+            return;
+        }
+        if note.soon {
+            asking.heard_at = turn.now;
+        } else {
+            self.send_away_one(&note.batch_job);
+        }
+    }
+
+    /// The heads of these partitions are others now.
+    pub fn heads_changed(&mut self, partitions: &[u16]) {
+        self.quota.ask_again(partitions);
+    }
+
+    fn send_away_one(&mut self, batch_job: &str) {
+        if let Some(asking) = self.reserving.batch_jobs.remove(batch_job) {
+            asking.answer(&SubmitAnswer::Busy);
+        }
     }
 
     /// The home partition's word on a batch job.
@@ -124,12 +164,13 @@
     /// How batch jobs stand, for their home partition: as of now, and said once all of it is committed. The command behind it
     /// can't be committed by a head that another one has followed, so its word is never of an older table.
     pub fn audited(&mut self, turn: Turn, call: &AuditCall) {
-        if !self.node.ready() || self.is_full() {
-            return;
-        }
         // A chain that stands still is not filled with what is asked again and again.
         let waiting = self.waits.iter().filter(|(_, wait)| matches!(wait, Wait::Left { .. })).count();
-        let Some(head) = self.head.as_mut().filter(|_| waiting < MOST_AUDITS) else { return };
+        if !self.node.ready() || self.is_full() || waiting >= MOST_AUDITS {
+            self.late_audit = Some(call.clone());
+            return;
+        }
+        let Some(head) = self.head.as_mut() else { return };
         let table = self.node.machine();
         let settled = call.batch_jobs.iter().filter(|asked| !self.reserving.is_waiting(&asked.batch_job));
         let batch_jobs = settled.map(|asked| Left {
@@ -152,6 +193,13 @@
         self.settle(turn);
     }
 
+    /// The newest audit that came while the chain could not take it.
+    fn answer_late_audit(&mut self, turn: Turn) {
+        if let Some(call) = self.late_audit.take_if(|_| self.node.ready()) {
+            self.audited(turn, &call);
+        }
+    }
+
     /// A batch job's head asks for tokens of a host of which this is the home partition.
     pub fn reserve_asked(&mut self, turn: Turn, call: ReserveCall) {
         if !self.node.ready() || self.is_full() {
@@ -160,11 +208,17 @@
         // What is on its way to the disks already is answered once it is there.
         let same = |word: &GrantedWord| (word.incarnation, word.nonce) == (call.incarnation, call.nonce);
         let on_its_way = |wait: &Wait<R>| matches!(wait, Wait::Granted { word, .. } if same(word));
+        let soon = !self.is_stalled(turn.now);
         if self.waits.iter().any(|(_, wait)| on_its_way(wait)) {
-            return;
+            return self.note(&call, soon);
         }
         let Some(head) = self.head.as_mut() else { return };
         let decision = self.quota.reserve(turn.now, self.node.machine(), &mut head.owner, &call);
+        match decision {
+            Decision::Propose(_) => self.note(&call, soon),
+            Decision::Wait => self.note(&call, !self.quota.is_blind(turn.now)),
+            Decision::Full => {}
+        }
         let granted = decision != Decision::Full;
         let ReserveCall { partition, batch_job, incarnation, nonce, reply_to, .. } = call;
         let word = GrantedWord { partition, batch_job, incarnation, nonce, granted };
@@ -180,6 +234,17 @@
         self.settle(turn);
     }
 
+    fn note(&mut self, call: &ReserveCall, soon: bool) {
+        let note = ReserveNote {
+            partition: call.partition,
+            batch_job: call.batch_job.clone(),
+            incarnation: call.incarnation,
+            nonce: call.nonce,
+            soon,
+        };
+        self.acts.push(Act::Tell(call.reply_to, RESERVE_NOTE, note.encode()));
+    }
+
     /// A partition's word on what is reserved.
     pub fn left(&mut self, turn: Turn, word: &LeftWord) {
         let Some(head) = self.head.as_mut() else { return };
@@ -193,8 +258,11 @@
     pub(super) fn tick_quota(&mut self, turn: Turn) {
         let now = turn.now;
         let mut over = Vec::new();
+        let silence_tells = self.reserving.hears_notes;
         for (batch_job, asking) in &mut self.reserving.batch_jobs {
-            if now >= asking.until {
+            let again = asking.asked_at > asking.heard_at;
+            let unheard = silence_tells && again && now.saturating_sub(asking.heard_at) >= UNHEARD_MS;
+            if unheard || now >= asking.until {
                 over.push(batch_job.clone());
             } else if now.saturating_sub(asking.asked_at) >= AGAIN_MS {
                 asking.asked_at = now;
@@ -202,11 +270,8 @@
                 self.acts.push(Act::TellHead(home, RESERVE, asking.call.encode()));
             }
         }
-        for batch_job in over {
-            if let Some(asking) = self.reserving.batch_jobs.remove(&batch_job) {
-                asking.answer(&SubmitAnswer::Busy);
-            }
-        }
+        over.iter().for_each(|batch_job| self.send_away_one(batch_job));
+        self.answer_late_audit(turn);
         self.ask_partitions(turn);
     }
 
--- a/crates/batch-store/src/process.rs
+++ b/crates/batch-store/src/process.rs
@@ -37,7 +37,7 @@
 /// The share of the link that answers to reads may take; the rest is for the chains, heartbeats and leases.
 const ANSWER_SHARE: f64 = 0.6;
 /// How often time passes for the store.
-const TICK: Duration = Duration::from_millis(100);
+const TICK: Duration = Duration::from_millis(50);
 /// How long a store that ends serves its chains on at least, so that the controllers can take it out of them.
 const LEAVING: Duration = Duration::from_millis(1_200);
 /// While chains still count on it, it serves on until so long before the end of the users' `GraceS`: what only it holds
--- a/crates/batch-store/tests/store.rs
+++ b/crates/batch-store/tests/store.rs
@@ -691,3 +691,111 @@
     one.act(10_000);
     assert!(one.told.iter().all(|(_, kind, _)| ![GRANTED, LEFT].contains(kind)));
 }
+
+/// A store whose batch jobs' home partition another store (2) heads, and a batch job that waits for its tokens there.
+fn waits_for_another_home(hears_notes: bool) -> (One, Said, ReserveCall) {
+    let mut one = One::new(1);
+    one.placement = Placement::ByJob;
+    let member = |n: u8| Member { id: n.into(), addr: addr(n), since: 1 };
+    let mut partitions = vec![View { number: 1, members: vec![member(1)], joining: vec![] }; PARTITIONS];
+    partitions[home_of(HOST, PARTITIONS)].members = vec![member(2)];
+    one.store.take_map(1, StoreMap { number: 1, partitions, stores: vec![], placement: Placement::ByJob });
+    one.grant(10_000, 10_000, 1);
+    let job = (0..).map(|n| format!("lot-{n}"));
+    let mut elsewhere = job.filter(|job| partition_of(HOST, job, PARTITIONS) != home_of(HOST, PARTITIONS));
+    let (first, job) = (elsewhere.next().unwrap(), elsewhere.next().unwrap());
+    let limited = |job: &str| SubmitCall { max_queued: 1_000, ..submit(job, 1) };
+    if hears_notes {
+        // A note about any batch job of the same partition shows that the home's head is of a version that says them.
+        let partition = partition_of(HOST, &job, PARTITIONS) as u16;
+        let note = ReserveNote { partition, batch_job: first.into(), incarnation: 1, nonce: 1, soon: true };
+        one.store.told(10_000, addr(2), RESERVE_NOTE, &note.encode()).unwrap();
+    }
+    let said = one.call(10_000, SUBMIT, &limited(&job));
+    let asked = one.told.iter().rfind(|(to, kind, _)| *to == addr(2) && *kind == RESERVE).expect("an asking");
+    let asked = ReserveCall::decode(&asked.2).unwrap();
+    (one, said, asked)
+}
+
+fn note(asked: &ReserveCall, soon: bool) -> Bytes {
+    let ReserveCall { partition, batch_job, incarnation, nonce, .. } = asked.clone();
+    ReserveNote { partition, batch_job, incarnation, nonce, soon }.encode()
+}
+
+/// While no head of the home partition answers, a batch job is sent away in time for its client's next try to count.
+#[test]
+fn a_batch_job_is_sent_away_soon_where_its_home_partition_is_silent() {
+    let (mut one, said, _) = waits_for_another_home(true);
+    one.tick(10_050);
+    assert_eq!(said.take::<SubmitAnswer>(), None, "it is asked once more first");
+    one.tick(10_100);
+    assert_eq!(said.take(), Some(SubmitAnswer::Busy));
+}
+
+#[test]
+fn a_batch_job_waits_on_while_its_home_partition_says_that_a_grant_is_on_its_way() {
+    let (mut one, said, asked) = waits_for_another_home(true);
+    for now in (10_050..10_500).step_by(50) {
+        one.store.told(now, addr(2), RESERVE_NOTE, &note(&asked, true)).unwrap();
+        one.tick(now);
+    }
+    assert_eq!(said.take::<SubmitAnswer>(), None);
+    let ReserveCall { partition, batch_job, incarnation, nonce, .. } = asked;
+    let word = GrantedWord { partition, batch_job, incarnation, nonce, granted: true };
+    one.store.told(10_500, addr(2), GRANTED, &word.encode()).unwrap();
+    one.act(10_500);
+    assert_eq!(said.take(), Some(SubmitAnswer::Taken));
+}
+
+#[test]
+fn a_batch_job_is_sent_away_at_once_where_its_home_partition_cannot_know_soon() {
+    let (mut one, said, asked) = waits_for_another_home(true);
+    one.store
+        .told(10_010, addr(2), RESERVE_NOTE, &note(&ReserveCall { nonce: 0, ..asked.clone() }, false))
+        .unwrap();
+    assert_eq!(said.take::<SubmitAnswer>(), None, "that was said of an earlier asking");
+    one.store.told(10_010, addr(2), RESERVE_NOTE, &note(&asked, false)).unwrap();
+    assert_eq!(said.take(), Some(SubmitAnswer::Busy));
+}
+
+/// A home partition's head of the version before says no notes: its silence means nothing.
+#[test]
+fn a_batch_job_waits_its_whole_time_for_a_home_partition_of_the_version_before() {
+    let (mut one, said, _) = waits_for_another_home(false);
+    (10_050..10_550).step_by(50).for_each(|now| one.tick(now));
+    assert_eq!(said.take::<SubmitAnswer>(), None);
+    one.tick(10_550);
+    assert_eq!(said.take(), Some(SubmitAnswer::Busy));
+}
+
+/// A chain that commits nothing takes no batch job: its client comes again when the chain is whole.
+#[test]
+fn a_batch_job_is_sent_away_while_the_chain_stands_still() {
+    let mut one = One::alone(10_000);
+    one.held = Some(Vec::new());
+    let first = one.call(10_000, SUBMIT, &submit("a", 1));
+    let second = one.call(10_150, SUBMIT, &submit("b", 1));
+    assert_eq!(one.ask(10_250, SUBMIT, &submit("c", 1)), Some(SubmitAnswer::Busy));
+    one.sync(10_260);
+    assert_eq!((first.take(), second.take()), (Some(SubmitAnswer::Taken), Some(SubmitAnswer::Taken)));
+    assert_eq!(one.ask(10_270, SUBMIT, &submit("d", 1)), Some(SubmitAnswer::Taken));
+}
+
+/// What is asked of a chain that has too many audits under way is answered as soon as it can be.
+#[test]
+fn an_audit_that_comes_too_soon_is_answered_later() {
+    let mut one = One::alone(10_000);
+    one.held = Some(Vec::new());
+    let partition = home_of(HOST, PARTITIONS) as u16;
+    for audit in 1..=6 {
+        let call =
+            AuditCall { home: 0, partition, reply_to: addr(2), incarnation: 5, audit, batch_jobs: vec![] };
+        one.store.told(10_000, addr(2), AUDIT, &call.encode()).unwrap();
+    }
+    one.act(10_000);
+    one.sync(10_020);
+    one.tick(10_050);
+    let left = one.told.iter().filter(|(_, kind, _)| *kind == LEFT);
+    let audits: Vec<u64> = left.map(|(_, _, body)| LeftWord::decode(body).unwrap().audit).collect();
+    assert_eq!(audits, [1, 2, 3, 4, 6], "the newest of those that had to wait");
+}
--- a/crates/batch-store/tests/world/quota.rs
+++ b/crates/batch-store/tests/world/quota.rs
@@ -2,7 +2,9 @@
 
 use super::losses::Planted;
 use super::{Event, World};
-use batch::wire::{AuditCall, GrantedWord, LeftWord, Message, ReserveCall, AUDIT, GRANTED, LEFT, RESERVE};
+use batch::wire::{
+    AuditCall, GrantedWord, LeftWord, Message, ReserveCall, AUDIT, GRANTED, LEFT, RESERVE, RESERVE_NOTE,
+};
 use bytes::Bytes;
 use std::collections::BTreeMap;
 
@@ -34,7 +36,7 @@
 
 /// Whether a frame is a word about reservations.
 pub fn is_word(kind: u16) -> bool {
-    [RESERVE, GRANTED, AUDIT, LEFT].contains(&kind)
+    [RESERVE, RESERVE_NOTE, GRANTED, AUDIT, LEFT].contains(&kind)
 }
 
 #[derive(Default)]
@@ -42,6 +44,8 @@
     /// For the planted faults: the newest asking for a batch job, and the newest audit of a partition by a home.
     asked: BTreeMap<String, (u64, u64)>,
     audited: BTreeMap<(u16, u16), (u64, u64)>,
+    /// The last grant for a batch job.
+    granted: BTreeMap<String, Bytes>,
 }
 
 impl World {
@@ -51,10 +55,13 @@
         self.note_word(kind, &body);
         // For one second of three hardly any comes through: batch jobs are given up whose tokens are reserved.
         let bad = (self.now / 1_000).is_multiple_of(3);
-        let lost = faulty && if bad { self.below(10) < 7 } else { self.below(30) == 0 };
+        // Where any grant counts, most are lost the first time: their batch jobs are asked for anew once the promise has ended.
+        let first_lost = self.planted == Some(Planted::GrantOfAnyAsking) && kind == GRANTED;
+        let lost = faulty && if bad || first_lost { self.below(10) < 7 } else { self.below(30) == 0 };
         let copies = self.copies(kind, faulty);
         let addr = self.processes[from].addr;
         let delay = self.way(from, to);
+        self.repeat_grant(from, to, kind, &body);
         if let Some(delay) = delay.filter(|_| !lost) {
             self.at(delay, Event::Tell { to, from: addr, kind, body: body.clone() });
         }
@@ -66,6 +73,28 @@
         }
     }
 
+    /// Where any grant counts, a batch job that is asked for anew hears the last one again: batch jobs wait for a grant only
+    /// shortly, and a copy that comes by chance would hardly ever meet one that waits.
+    fn repeat_grant(&mut self, from: usize, to: usize, kind: u16, body: &Bytes) {
+        if self.planted != Some(Planted::GrantOfAnyAsking) || !self.faulty_words() {
+            return;
+        }
+        if kind == GRANTED {
+            let word = GrantedWord::decode(body).expect("a grant");
+            if word.granted {
+                self.quota.granted.insert(word.batch_job.to_string(), body.clone());
+            }
+        } else if kind == RESERVE {
+            let call = ReserveCall::decode(body).expect("an asking");
+            if let (Some(body), Some(delay)) =
+                (self.quota.granted.get(call.batch_job.as_str()).cloned(), self.way(to, from))
+            {
+                let addr = self.processes[to].addr;
+                self.at(delay, Event::Tell { to: from, from: addr, kind: GRANTED, body });
+            }
+        }
+    }
+
     fn faulty_words(&self) -> bool {
         let faults = &self.faults;
         let any = faults.kills || faults.disks || faults.cuts || faults.all_off || faults.words;
--- a/crates/batch/src/quota.rs
+++ b/crates/batch/src/quota.rs
@@ -25,6 +25,8 @@
 const FRESH_MS: Ms = 500;
 /// An asking that was refused stays refused for so long: one that was sent twice would reserve for nobody else.
 const REFUSED_MS: Ms = 1_000;
+/// A partition that takes longer to answer is in trouble: an answer takes a commit of its chain, some syncs one after the other.
+const SLOW_ANSWER_MS: Ms = 150;
 /// The most batch jobs in one audit.
 const MOST_BATCH_JOBS: usize = 4_096;
 
@@ -88,6 +90,24 @@
         self.partitions.clear();
     }
 
+    /// The heads of these partitions are others now: an audit that is not answered was asked of nobody.
+    pub fn ask_again(&mut self, partitions: &[u16]) {
+        for partition in partitions {
+            if let Some(asked) = self.partitions.get_mut(partition) {
+                asked.audit = None;
+            }
+        }
+    }
+
+    /// Whether it won't be known soon whether tokens fit: a partition takes long to answer, and what it said last is old.
+    pub fn is_blind(&self, now: Ms) -> bool {
+        let is_slow = |asked: &Asked| {
+            let old = asked.answered.is_none_or(|at| now.saturating_sub(at) >= FRESH_MS);
+            old && asked.audit.is_some_and(|(_, sent)| now.saturating_sub(sent) >= SLOW_ANSWER_MS)
+        };
+        self.partitions.values().any(is_slow)
+    }
+
     /// A batch job's head asks for tokens.
     pub fn reserve(
         &mut self,
--- a/crates/batch/src/wire.rs
+++ b/crates/batch/src/wire.rs
@@ -18,7 +18,7 @@
 
 pub use crate::codec::{Message, WireError};
 pub use map::{ChainFrame, Grant, Heartbeat, PartStatus, Placement, StoreInfo, StoreMap, StoreState};
-pub use quota::{AuditCall, AuditLot, GrantedWord, Left, LeftWord, ReserveCall};
+pub use quota::{AuditCall, AuditLot, GrantedWord, Left, LeftWord, ReserveCall, ReserveNote};
 pub use work::{
     Done, DoneAnswer, DoneCall, Elsewhere, FetchAnswer, FetchCall, Held, HeldPart, HoldAnswer, HoldCall,
     HoldPart, Leased, Outcome, PartAnswer, Want,
@@ -54,6 +54,9 @@
 /// Tell of a partition's head to the home partition's head: [`LeftWord`].
 pub const LEFT: u16 = 0x0316;
 
+/// Tell of a home partition's head to a job's head: [`ReserveNote`].
+pub const RESERVE_NOTE: u16 = 0x0317;
+
 /// The most partitions of a map, each with a chain of stores of its own: a bound for readers. How many there are, the
 /// controllers choose when they make the first map.
 pub const MOST_PARTITIONS: usize = 512;
--- a/crates/batch/src/wire/quota.rs
+++ b/crates/batch/src/wire/quota.rs
@@ -62,6 +62,27 @@
     pub granted: bool,
 }
 
+/// What a home partition's head says at once on a [`ReserveCall`] that it can neither grant nor refuse yet.
+#[binrw]
+#[brw(little, magic = 1u8)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ReserveNote {
+    /// The partition that asked.
+    pub partition: u16,
+    /// The batch job's id.
+    #[br(parse_with = text, args(MAX_NAME))]
+    #[bw(write_with = put_text, args(MAX_NAME))]
+    pub batch_job: CompactString,
+    /// As in the call.
+    pub incarnation: u64,
+    /// As in the call.
+    pub nonce: u64,
+    /// Whether a grant or a refusal is about to follow; else it may take long.
+    #[br(map = |b: u8| b != 0)]
+    #[bw(map = |b: &bool| u8::from(*b))]
+    pub soon: bool,
+}
+
 /// One batch job that is asked about.
 #[binrw]
 #[brw(little)]
--- a/crates/batch/tests/quota.rs
+++ b/crates/batch/tests/quota.rs
@@ -182,3 +182,22 @@
     shorter[..4].copy_from_slice(&0x4c4f_5402u32.to_le_bytes());
     assert!(BatchJobs::new().restore(&shorter).is_err());
 }
+
+/// A partition that does not answer keeps the home partition from knowing what fits; one whose head is another now is asked at once.
+#[test]
+fn an_audit_that_takes_long_makes_the_owner_blind_until_another_is_answered() {
+    let mut home = Home::new();
+    assert!(home.is_granted(0, "a", 1, 900));
+    let first = home.audit(0);
+    assert!(!home.quota.is_blind(100), "an answer takes a commit");
+    assert!(home.quota.is_blind(200));
+    assert!(home.quota.audits(200, &home.batch_jobs).is_empty(), "what is asked is not asked again yet");
+    home.quota.ask_again(&[3]);
+    assert!(home.quota.audits(210, &home.batch_jobs).is_empty(), "another partition's head has changed");
+    home.quota.ask_again(&[7]);
+    let second = home.audit(220);
+    assert!(second.audit > first.audit);
+    let word = LeftWord { home: 4, partition: 7, incarnation: 9, audit: second.audit, batch_jobs: vec![] };
+    home.quota.left(260, &home.batch_jobs, &mut home.owner, &word);
+    assert!(!home.quota.is_blind(600));
+}
--- a/crates/batch/tests/wire.rs
+++ b/crates/batch/tests/wire.rs
@@ -130,6 +130,7 @@
         tokens: 6,
         most: 7,
     });
+    back(ReserveNote { partition: 3, batch_job: "l".into(), incarnation: 4, nonce: 5, soon: true });
     back(GrantedWord { partition: 3, batch_job: "l".into(), incarnation: 4, nonce: 5, granted: true });
     let batch_jobs = vec![AuditLot { host: "h".into(), route: "r".into(), batch_job: "l".into() }];
     back(AuditCall { home: 1, partition: 2, reply_to: v6, incarnation: 3, audit: 4, batch_jobs });
--- a/crates/gateway/src/batch_front.rs
+++ b/crates/gateway/src/batch_front.rs
@@ -37,6 +37,9 @@
 /// When a client may come again that was refused for want of room, and for want of a store.
 const FULL_AGAIN_MS: u64 = 500;
 const BUSY_AGAIN_MS: u64 = 250;
+/// ... and one whose batch job no store could take: a chain that lost a store is whole again after a little more than a second, and
+/// a client that comes back too early may have no further try.
+const NO_STORE_AGAIN_MS: u64 = 1_000;
 /// The least that a submission is given, whatever its route says.
 const SUBMIT_LEAST_MS: u64 = 500;
 
@@ -316,6 +319,10 @@
             one(&gateway.counts.unsure);
             own(StatusCode::GATEWAY_TIMEOUT, "no store can say for sure\n")
         }
-        _ => refused(StatusCode::SERVICE_UNAVAILABLE, "no store takes batch jobs just now\n", BUSY_AGAIN_MS),
+        _ => refused(
+            StatusCode::SERVICE_UNAVAILABLE,
+            "no store takes batch jobs just now\n",
+            NO_STORE_AGAIN_MS,
+        ),
     }
 }
