What may not be repeated goes out on a fresh connection, waited for as others took

Cause: a runner that goes dark holds each request that was sent on a kept connection to the client's end, and a gateway of a large fleet uses each of its connections only every few seconds. A new connection to a dark runner doesn't come up, so nothing is lost; but it was waited for 300 ms, the whole aim. Change: such a request goes on a connection used in the last 250 ms (3 s before) or a new one; a new one is waited for by the mean and deviation of what others took (RFC 6298), 60 to 300 ms.

--- a/crates/gateway/src/choice.rs
+++ b/crates/gateway/src/choice.rs
@@ -2,6 +2,7 @@
 
 pub use crate::ask::{Ask, Choice, Chosen};
 
+use crate::connect_wait::ConnectWait;
 use crate::gateway::Clock;
 use crate::pool::{ConnectionNumber, Pool};
 use crate::queue::{Place, Queue, ITEMS};
@@ -36,6 +37,7 @@
     runners: RefCell<HashMap<CompactString, Rc<Runner>>>,
     config: RefCell<Option<Rc<Config>>>,
     pool: Pool,
+    connect_wait: ConnectWait,
     pub(crate) queue: Queue,
     /// Sends that may be told that their runner seems to hang.
     pub(crate) calls: RefCell<HashMap<u64, Rc<Notify>>>,
@@ -55,6 +57,7 @@
             runners: RefCell::default(),
             config: RefCell::default(),
             pool: Pool::default(),
+            connect_wait: ConnectWait::default(),
             queue: Queue::default(),
             calls: RefCell::default(),
             seed: Cell::new(seed | 1),
@@ -301,6 +304,11 @@
         self.0.pool.open(key) < self.0.engines.borrow().connections(key) as usize
     }
 
+    /// How long a connection to a runner is waited for.
+    pub fn connect_wait(&self) -> &ConnectWait {
+        &self.0.connect_wait
+    }
+
     /// Counts a connection to the runner.
     pub fn counted(&self, key: Key) -> Counted {
         self.0.pool.counted(key)
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -143,7 +143,8 @@
         None if !gateway.choice.may_open(key) => Err(Broken::Unsent),
         None => {
             one(&gateway.counts.opened);
-            let opened = Upstream::open(chosen.addr, gateway.choice.counted(key)).await;
+            let opened =
+                Upstream::open(chosen.addr, gateway.choice.counted(key), gateway.choice.connect_wait()).await;
             // The connection took its time: what was told meanwhile counts.
             if gateway.choice.usable(key) {
                 opened
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod batch_front;
 pub mod choice;
 pub mod codes;
+pub mod connect_wait;
 pub mod control;
 pub mod counts;
 pub mod events;
--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -12,8 +12,9 @@
 use std::time::Duration;
 
 /// A request that may not be repeated goes out only on a connection that was used this lately, or on a new one: a runner
-/// that has gone dark since doesn't take a new connection, and then it is known that the request has not run.
-const LATELY: Duration = Duration::from_secs(3);
+/// that has gone dark since doesn't take a new connection, and then it is known that the request has not run. About as long
+/// as a runner that hangs is given at least; an opening costs a way there and back.
+const LATELY: Duration = Duration::from_millis(250);
 
 /// The number of a connection; no two of a process have the same.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
--- a/crates/gateway/src/report.rs
+++ b/crates/gateway/src/report.rs
@@ -31,7 +31,7 @@
         None if !gateway.choice.may_open(key) => return None,
         None => {
             one(&gateway.counts.opened);
-            Upstream::open(addr, gateway.choice.counted(key)).await.ok()?
+            Upstream::open(addr, gateway.choice.counted(key), gateway.choice.connect_wait()).await.ok()?
         }
     };
     let mut request = Request::new(Full::new(Bytes::new()));
--- a/crates/gateway/src/upstream.rs
+++ b/crates/gateway/src/upstream.rs
@@ -3,6 +3,7 @@
 //! A connection is driven by whoever has a request on it, in the same task: an event of a stream costs one wake-up, one read
 //! and one write. Nobody drives one that is idle; it is looked at before it is used again, and now and then.
 
+use crate::connect_wait::ConnectWait;
 use crate::pool::{ConnectionNumber, Pooled};
 use bytes::Bytes;
 use http1::{Observer, Socket, SocketIo};
@@ -23,9 +24,6 @@
 use tokio::net::{TcpSocket, TcpStream};
 use tokio::time::Instant;
 
-/// A runner that takes a connection takes it in this time, wherever it is: the farthest is some milliseconds away, and an
-/// opening that was dropped is sent again only after a second.
-const CONNECT_WAIT: Duration = Duration::from_millis(300);
 /// Bytes that are not confirmed for so long end the connection: a machine that is dark says nothing.
 const UNCONFIRMED: Duration = Duration::from_millis(1_000);
 /// A runner that does not say for how long it keeps an idle connection keeps it for less than a second.
@@ -103,23 +101,29 @@
     }
 }
 
-async fn connect(addr: SocketAddr) -> std::io::Result<TcpStream> {
+async fn connect(addr: SocketAddr, within: &ConnectWait) -> std::io::Result<TcpStream> {
     let socket = if addr.is_ipv4() { TcpSocket::new_v4() } else { TcpSocket::new_v6() }?;
     socket.set_nodelay(true)?;
     let _ = SockRef::from(&socket).set_tcp_user_timeout(Some(UNCONFIRMED));
-    match tokio::time::timeout(CONNECT_WAIT, socket.connect(addr)).await {
-        Ok(result) => result,
+    let began = Instant::now();
+    match tokio::time::timeout(within.most(), socket.connect(addr)).await {
+        Ok(result) => {
+            if result.is_ok() {
+                within.came_up(began.elapsed());
+            }
+            result
+        }
         Err(_) => Err(std::io::ErrorKind::TimedOut.into()),
     }
 }
 
 impl Upstream {
-    /// Opens a connection.
+    /// Opens a connection, within the time that connections take.
     ///
     /// # Errors
     /// It did not come up.
-    pub async fn open(addr: SocketAddr, count: Counted) -> Result<Self, Broken> {
-        let stream = connect(addr).await.map_err(Broken::Connect)?;
+    pub async fn open(addr: SocketAddr, count: Counted, within: &ConnectWait) -> Result<Self, Broken> {
+        let stream = connect(addr, within).await.map_err(Broken::Connect)?;
         let written = Written::default();
         let socket = Socket::new(stream, written.clone());
         let io = TokioIo::new(SocketIo(Rc::clone(&socket)));
--- a/crates/gateway/tests/connections.rs
+++ b/crates/gateway/tests/connections.rs
@@ -9,8 +9,9 @@
 };
 use engine_choice::RunnerKey;
 use gateway::choice::{Ask, Choice, Key};
+use gateway::connect_wait::ConnectWait;
 use gateway::exchange::{send, RouteTerms, Sent, Tried, LEAST_LEFT_MS};
-use gateway::pool::Pool;
+use gateway::pool::{ConnectionNumber, Pool, Pooled};
 use gateway::request::Request;
 use gateway::upstream::Upstream;
 use runner_registry::RunnerState;
@@ -496,7 +497,7 @@
         let _ = stream.read(&mut [0; 4096]);
     });
     let (pool, key) = (Pool::default(), RunnerKey(1));
-    let mut upstream = Upstream::open(addr, pool.counted(key)).await.unwrap();
+    let mut upstream = Upstream::open(addr, pool.counted(key), &ConnectWait::default()).await.unwrap();
     let (head, mut body) = upstream.send(bare_request()).await.unwrap().into_parts();
     assert!(upstream.data(&mut body).await.is_none());
     pool.put(key, upstream.rest(&head.headers).expect("it can be kept"));
@@ -667,3 +668,50 @@
         }
     });
 }
+
+/// How long a connection is waited for follows what others took, within bounds.
+#[test]
+fn a_connection_is_waited_for_as_long_as_others_took_and_some_more() {
+    let ms = Duration::from_millis;
+    let wait = ConnectWait::default();
+    assert_eq!(wait.most(), ms(300), "nothing is known yet");
+    (0..100).for_each(|_| wait.came_up(ms(3)));
+    assert_eq!(wait.most(), ms(60), "a process that stands still for a moment blames nobody");
+    (0..100).for_each(|n| wait.came_up(ms(if n % 2 == 0 { 40 } else { 80 })));
+    assert!((ms(120)..=ms(160)).contains(&wait.most()), "{:?}", wait.most());
+    (0..100).for_each(|_| wait.came_up(ms(900)));
+    assert_eq!(wait.most(), ms(300), "a lost opening is sent again only after a second");
+}
+
+/// A connection that was used some time ago.
+struct Rested(Duration);
+
+impl Pooled for Rested {
+    fn number(&self) -> ConnectionNumber {
+        ConnectionNumber(1)
+    }
+
+    fn idle_for(&self) -> Duration {
+        self.0
+    }
+
+    fn is_fit(&mut self, _careful: bool) -> bool {
+        true
+    }
+
+    fn is_kept(&mut self) -> bool {
+        true
+    }
+}
+
+/// The runner may have gone dark since: a new connection would show it before the request is sent.
+#[test]
+fn what_may_not_be_repeated_goes_only_on_a_connection_that_was_used_just_now() {
+    let pool: Pool<Rested> = Pool::default();
+    let key = RunnerKey(7);
+    pool.put(key, Rested(Duration::from_millis(400)));
+    assert!(pool.take(key, true, &[]).is_none());
+    assert!(pool.take(key, false, &[]).is_some(), "it is good for what may be repeated");
+    pool.put(key, Rested(Duration::from_millis(100)));
+    assert!(pool.take(key, true, &[]).is_some());
+}
