--- a/crates/batch-store/src/part.rs
+++ b/crates/batch-store/src/part.rs
@@ -58,9 +58,9 @@
     TellHead(usize, u16, Bytes),
 }
 
-/// A chain that commits nothing for so long, and has something to, does not do so soon. Above what a chain takes whose members
-/// sync one after the other on slow disks.
-const STALLED_MS: Ms = 200;
+/// A chain that commits nothing for so long, and has something to, does not do so soon: a member is gone. Well above the 0.3 s that
+/// one sync may take of a disk that has turned slow, whose chain still takes batch jobs in their time.
+const STALLED_MS: Ms = 400;
 
 enum Wait<R> {
     /// A batch job of which the taking was proposed (`fresh`), or which was in the table.
