review: a runner that has left gets requests again after all processes were killed

Cause: a leave is acknowledged once a majority of the controllers have it in memory; no disk has it. After a kill of every process a heartbeat that was sent before the leave and arrives late is taken for that of a new runner, and puts the runner back.

Change: a case by script, review/2, with its claim, its record in review/KNOWN-RED.txt and a stand-in for runners. Nothing is mended.

Ruled out: the late heartbeat alone. With the same one and no kill the runner gets nothing.

--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -4,10 +4,12 @@
 
 mod batch;
 mod cluster;
+mod drain;
 mod net;
 mod operator;
 mod record;
 mod retire;
+mod runner;
 
 use std::path::Path;
 use std::process::exit;
@@ -22,6 +24,7 @@
     let record = record::Record::create(Path::new(record));
     let folder = Path::new(folder);
     let result = match case.as_str() {
+        "drain" => drain::run(&record, folder, trouble),
         "retire" => retire::run(&record, folder, trouble),
         _ => 2,
     };
