Roll-outs of a service's version: the order, the shares, the verdict and both ends

What the operator saw: the order of a roll-out had no acknowledgement. Cause: the call was not there (404, code 1308), and nothing behind it; the new version's runners would have got traffic like all others.

The head publishes the share, in steps: a canary below CanaryShare at a part of the new runners, 0.2, 0.5, all; gateways draw by the request's id and stop without renewals. Gateways report answers of both versions by route; a sequential test condemns a version that fails or is slow. Complete follows once nothing is at old runners.

The configuration that is being put in place is called activation now (core/publishing.rs), to keep the two apart.

--- a/crates/common/tier-settings/src/bounds.rs
+++ b/crates/common/tier-settings/src/bounds.rs
@@ -26,6 +26,8 @@
             $($(#[$doc])* pub $field: u64,)*
             /// Share by which the reserved tokens may exceed a quota.
             pub quota_excess: f64,
+            /// Share of a service's requests that a bad version may get.
+            pub canary_share: f64,
         }
 
         impl Bounds {
@@ -36,7 +38,10 @@
             /// Each key with its value, in the unit of the key.
             pub fn entries(&self) -> impl Iterator<Item = (&'static str, f64)> {
                 let times = [$(($key, self.$field as f64 / f64::from($unit as u32)),)*];
-                times.into_iter().chain([("QuotaExcess", self.quota_excess)])
+                times.into_iter().chain([
+                    ("QuotaExcess", self.quota_excess),
+                    ("CanaryShare", self.canary_share),
+                ])
             }
 
             pub(crate) fn read(table: Option<&TableReader<'_>>) -> Result<Self, SettingsError> {
@@ -48,7 +53,13 @@
                 )*
                 let quota_excess =
                     NumberKey { key: "QuotaExcess", default: 0.1, min: 0.0, max: 1_000.0 };
-                Ok(Bounds { $($field,)* quota_excess: quota_excess.read(table)? })
+                let canary_share =
+                    NumberKey { key: "CanaryShare", default: 0.1, min: 0.0, max: 1.0 };
+                Ok(Bounds {
+                    $($field,)*
+                    quota_excess: quota_excess.read(table)?,
+                    canary_share: canary_share.read(table)?,
+                })
             }
         }
     };
--- a/crates/common/tier-settings/src/reload.rs
+++ b/crates/common/tier-settings/src/reload.rs
@@ -38,7 +38,7 @@
         let names = Bounds::KEYS
             .iter()
             .map(|bound| bound.key)
-            .chain(["QuotaExcess"]);
+            .chain(["QuotaExcess", "CanaryShare"]);
         let names = names.filter(in_bounds);
         let mut keys: Vec<_> = names
             .map(|key| ReloadableKey {
--- a/crates/common/tier-settings/tests/keys.rs
+++ b/crates/common/tier-settings/tests/keys.rs
@@ -74,6 +74,7 @@
         CancelMs = 3000
         SettleMs = 1000
         QuotaExcess = 0.1
+        CanaryShare = 0.1
         "##);
 }
 
@@ -90,6 +91,7 @@
         }
     }
     assert_eq!(read("[Bounds]\nQuotaExcess = 0.5").bounds.quota_excess, 0.5);
+    assert_eq!(read("[Bounds]\nCanaryShare = 0.5").bounds.canary_share, 0.5);
 }
 
 #[test]
@@ -289,7 +291,7 @@
     let bounds = Bounds::KEYS
         .iter()
         .map(|bound| bound.key)
-        .chain(["QuotaExcess"]);
+        .chain(["QuotaExcess", "CanaryShare"]);
     let bounds = bounds.map(|key| ("Bounds", key));
     let in_tables = limits.into_iter().chain(budget).chain(bounds);
     let in_tables = in_tables.map(|(table, key)| format!("{LEAST}[{table}]\n{key} = {value}\n"));
@@ -329,6 +331,7 @@
         S110 Bounds.CancelMs (line 6): must be from 0 to 86400000, but is -1
         S110 Bounds.SettleMs (line 6): must be from 0 to 86400000, but is -1
         S110 Bounds.QuotaExcess (line 6): must be from 0 to 1000, but is -1
+        S110 Bounds.CanaryShare (line 6): must be from 0 to 1, but is -1
         "##);
 }
 
@@ -364,6 +367,7 @@
         S110 Bounds.CancelMs (line 6): must be from 0 to 86400000, but is 1000000000000000000000000000000
         S110 Bounds.SettleMs (line 6): must be from 0 to 86400000, but is 1000000000000000000000000000000
         S110 Bounds.QuotaExcess (line 6): must be from 0 to 1000, but is 1000000000000000000000000000000
+        S110 Bounds.CanaryShare (line 6): must be from 0 to 1, but is 1000000000000000000000000000000
         "##);
 }
 
--- a/crates/control/controller/src/call.rs
+++ b/crates/control/controller/src/call.rs
@@ -107,6 +107,16 @@
         /// The machine.
         node: String,
     },
+    /// A service is to move to another version.
+    BeginRollout {
+        /// The order, in JSON.
+        body: Bytes,
+    },
+    /// How far that is.
+    GetRollout {
+        /// The service.
+        service: String,
+    },
     /// The state of the tier, as this controller sees it.
     GetStatus,
 }
--- a/crates/control/controller/src/control_state.rs
+++ b/crates/control/controller/src/control_state.rs
@@ -6,7 +6,8 @@
 use binrw::{binrw, BinRead};
 use bytes::Bytes;
 use chain_replication::{to_bytes, SnapshotError, StateMachine};
-use std::collections::VecDeque;
+use replicated_state::RolloutState;
+use std::collections::{BTreeMap, VecDeque};
 use std::io::Cursor;
 
 /// So many changes are remembered, to recognize one that is sent again: over an hour of 66,000 a
@@ -14,6 +15,46 @@
 /// snapshot.
 pub const MAX_REMEMBERED_CHANGES: usize = 4_096;
 
+/// Services of which a roll-out is remembered at most: as many as a configuration may have.
+pub const MAX_ROLLOUTS: usize = 1_000;
+
+/// An operator's order to move a service to another version.
+#[binrw]
+#[brw(little)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct RolloutOrder {
+    #[br(temp)]
+    #[bw(calc = service.len() as u16)]
+    service_length: u16,
+    /// The service, in UTF-8.
+    #[br(count = service_length)]
+    pub service: Vec<u8>,
+    #[br(temp)]
+    #[bw(calc = target.len() as u16)]
+    target_length: u16,
+    /// The new version, in UTF-8.
+    #[br(count = target_length)]
+    pub target: Vec<u8>,
+    /// Within so many milliseconds it is to be done (`OverS`).
+    pub over_ms: u64,
+    /// The time of day at which it was taken, in milliseconds.
+    pub begun_unix_ms: u64,
+}
+
+/// The newest roll-out of a service.
+#[binrw]
+#[brw(little)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct RolloutRecord {
+    /// The number of the command that began it: rises with each roll-out, and fences what is said
+    /// of the one before.
+    pub id: u64,
+    /// How far it is.
+    pub state: RolloutState,
+    /// The order.
+    pub order: RolloutOrder,
+}
+
 /// What identifies a change of the configuration: the version that it builds on, and its body.
 #[binrw]
 #[brw(little)]
@@ -56,6 +97,20 @@
         #[br(count = length)]
         body: Vec<u8>,
     },
+    /// A roll-out begins, if none of the service is under way.
+    #[brw(magic = 3u8)]
+    BeginRollout {
+        /// The order.
+        order: RolloutOrder,
+    },
+    /// The roll-out of this id ends, if it is under way.
+    #[brw(magic = 4u8)]
+    EndRollout {
+        /// Its id.
+        id: u64,
+        /// How it ends.
+        state: RolloutState,
+    },
 }
 
 impl Command {
@@ -82,6 +137,8 @@
     pub placement_number: u64,
     /// The placement map, encoded.
     pub placement: Bytes,
+    /// The newest roll-out of each service, [`MAX_ROLLOUTS`] at most.
+    pub rollouts: BTreeMap<Vec<u8>, RolloutRecord>,
 }
 
 impl ControlState {
@@ -90,6 +147,31 @@
         self.config.as_ref().map_or(0, |(change, _)| change.version)
     }
 
+    /// The newest roll-out of a service.
+    pub fn rollout(&self, service: &str) -> Option<&RolloutRecord> {
+        self.rollouts.get(service.as_bytes())
+    }
+
+    fn begin_rollout(&mut self, id: u64, order: RolloutOrder) {
+        let known = self.rollouts.get(&order.service);
+        let is_full = known.is_none() && self.rollouts.len() >= MAX_ROLLOUTS;
+        if is_full || known.is_some_and(|record| record.state == RolloutState::Rolling) {
+            return;
+        }
+        let state = RolloutState::Rolling;
+        let service = order.service.clone();
+        self.rollouts
+            .insert(service, RolloutRecord { id, state, order });
+    }
+
+    fn end_rollout(&mut self, id: u64, state: RolloutState) {
+        let mut records = self.rollouts.values_mut();
+        let record = records.find(|record| record.id == id);
+        if let Some(record) = record.filter(|record| record.state == RolloutState::Rolling) {
+            record.state = state;
+        }
+    }
+
     /// Whether all changes on this version that were ever accepted are still remembered. Each
     /// change builds on the one accepted before it, so what was forgotten built on older versions
     /// than the oldest that is remembered.
@@ -141,8 +223,19 @@
     placement: Vec<u8>,
 }
 
+/// What follows the state in a snapshot once there was a roll-out. An older version ignores it.
+#[binrw]
+#[brw(little)]
+struct EncodedRollouts {
+    #[br(temp, assert(usize::from(count) <= MAX_ROLLOUTS))]
+    #[bw(calc = rollouts.len() as u16)]
+    count: u16,
+    #[br(count = count)]
+    rollouts: Vec<RolloutRecord>,
+}
+
 impl StateMachine for ControlState {
-    fn apply(&mut self, _number: u64, command: &[u8]) {
+    fn apply(&mut self, number: u64, command: &[u8]) {
         match Command::decode(command) {
             // The head has checked it; checked again here, since a change that doesn't follow must
             // not count whatever happened there.
@@ -160,6 +253,8 @@
                 self.placement_number = number;
                 self.placement = body.into();
             }
+            Some(Command::BeginRollout { order }) => self.begin_rollout(number, order),
+            Some(Command::EndRollout { id, state }) => self.end_rollout(id, state),
             _ => {}
         }
     }
@@ -176,12 +271,25 @@
             placement_number: self.placement_number,
             placement: self.placement.to_vec(),
         };
-        to_bytes(&encoded).to_vec()
+        let mut snapshot = to_bytes(&encoded).to_vec();
+        if !self.rollouts.is_empty() {
+            let rollouts = self.rollouts.values().cloned().collect();
+            snapshot.extend_from_slice(&to_bytes(&EncodedRollouts { rollouts }));
+        }
+        snapshot
     }
 
     fn restore(&mut self, snapshot: &[u8]) -> Result<(), SnapshotError> {
-        let encoded = EncodedState::read(&mut Cursor::new(snapshot))
-            .map_err(|error| SnapshotError(error.to_string()))?;
+        let unreadable = |error: binrw::Error| SnapshotError(error.to_string());
+        let mut cursor = Cursor::new(snapshot);
+        let encoded = EncodedState::read(&mut cursor).map_err(unreadable)?;
+        let rollouts = if cursor.position() < snapshot.len() as u64 {
+            EncodedRollouts::read(&mut cursor)
+                .map_err(unreadable)?
+                .rollouts
+        } else {
+            Vec::new()
+        };
         let newest = encoded.accepted_changes.last().copied();
         let newest = newest.filter(|_| encoded.has_config == 1);
         *self = ControlState {
@@ -189,6 +297,10 @@
             accepted_changes: encoded.accepted_changes.into(),
             placement_number: encoded.placement_number,
             placement: encoded.placement.into(),
+            rollouts: rollouts
+                .into_iter()
+                .map(|record| (record.order.service.clone(), record))
+                .collect(),
         };
         Ok(())
     }
--- a/crates/control/controller/src/core.rs
+++ b/crates/control/controller/src/core.rs
@@ -14,9 +14,10 @@
 mod lifecycle;
 mod membership;
 mod pending;
+mod publishing;
 mod quorum_contact;
 mod repair;
-mod rollout;
+mod version_rollouts;
 mod work;
 
 pub use effects::{Effect, WriteTicket};
@@ -38,14 +39,15 @@
 use lifecycle::Shutdown;
 use membership::PublishedControllers;
 use pending::PendingCall;
+use publishing::ConfigActivation;
 use quorum_contact::QuorumContact;
 use relay_tree::{Follow, Role, StateTable};
 use repair::ViewPlan;
-use rollout::Rollout;
 use runner_registry::{Registry, RegistryConfig};
 use slog::{info, warn, Logger};
 use std::net::SocketAddr;
 use tier_settings::Settings;
+use version_rollouts::LedRollouts;
 use view_agreement::{Agreement, ControllerView};
 use write_ahead_log::DiskHealth;
 
@@ -87,7 +89,8 @@
     /// Since when it leads: as head, in contact with a majority, of a chain that commits.
     head_since: Option<Millis>,
     /// The configuration that is being put in place.
-    rollout: Option<Rollout>,
+    config_activation: Option<ConfigActivation>,
+    led_rollouts: LedRollouts,
     view_plan: ViewPlan,
     pub(crate) quorum_contact: QuorumContact,
     published_controllers: PublishedControllers,
@@ -150,7 +153,8 @@
             last_tick_at: 1,
             last_heartbeat_at: None,
             head_since: None,
-            rollout: None,
+            config_activation: None,
+            led_rollouts: LedRollouts::default(),
             view_plan: ViewPlan::default(),
             quorum_contact: QuorumContact::default(),
             published_controllers: PublishedControllers::default(),
--- a/crates/control/controller/src/core/calls.rs
+++ b/crates/control/controller/src/core/calls.rs
@@ -3,6 +3,7 @@
 mod config;
 mod outcome;
 mod retirement;
+mod rollout;
 mod runners;
 
 use super::pending::{Condition, PendingCall};
@@ -56,6 +57,8 @@
             Call::RunnerLeave { id } => self.runner_leave(now, &id),
             Call::RetireStore { node } => self.retire_store(now, &node),
             Call::GetRetirement { node } => self.get_retirement(now, &node),
+            Call::BeginRollout { body } => self.begin_rollout(now, &body),
+            Call::GetRollout { service } => self.get_rollout(now, service),
             Call::GetStatus => Ok(Outcome::Respond(crate::status::respond(self, now))),
         };
         match answer {
--- a/crates/control/controller/src/core/calls/config.rs
+++ b/crates/control/controller/src/core/calls/config.rs
@@ -3,7 +3,7 @@
 use super::{under_repair, Answer, ChainEnd, Outcome};
 use crate::call::Response;
 use crate::control_state::{digest, Command, ConfigChange};
-use crate::core::pending::Condition;
+use crate::core::pending::{Condition, ReadQuery};
 use crate::core::ControllerCore;
 use chain_replication::Millis;
 use route_config::Config;
@@ -92,6 +92,7 @@
         let token = self.agreement.confirm_view(now);
         let number = self.chain.last_received();
         Ok(Outcome::WaitFor(Condition::ReadConfirmed {
+            query: ReadQuery::Config,
             token,
             confirmed: false,
             number,
--- a/crates/control/controller/src/core/calls/outcome.rs
+++ b/crates/control/controller/src/core/calls/outcome.rs
@@ -3,17 +3,17 @@
 use super::out_of_contact;
 use crate::call::Response;
 use crate::control_state::ConfigChange;
-use crate::core::pending::{Condition, PendingCall};
+use crate::core::pending::{Condition, PendingCall, ReadQuery};
 use crate::core::{ControllerCore, QUORUM_CONTACT_TIMEOUT};
 use chain_replication::Millis;
 
 /// A caller that has waited so long calls elsewhere; well below `AckMs` and beyond one change of
 /// the view.
-const COMMIT_TIMEOUT: Millis = 3_500;
+pub(super) const COMMIT_TIMEOUT: Millis = 3_500;
 /// A runner gives a call up after a second, and goes to the next controller.
 const DRAIN_TIMEOUT: Millis = 700;
 
-fn unclear() -> Response {
+pub(super) fn unclear() -> Response {
     Response::error(
         503,
         1313,
@@ -70,11 +70,14 @@
                 self.config_response(change, *number, waited_for(COMMIT_TIMEOUT))
             }
             Condition::ReadConfirmed {
-                confirmed, number, ..
+                query,
+                confirmed,
+                number,
+                ..
             } => {
                 let committed = self.chain.committed() >= *number.max(&self.chain.last_received());
                 if *confirmed && committed && self.chain.is_tail() {
-                    return Some(self.read_response());
+                    return Some(self.read_response(query));
                 }
                 let over = !self.chain.is_tail() || waited_for(QUORUM_CONTACT_TIMEOUT);
                 over.then(out_of_contact)
@@ -94,6 +97,14 @@
                 let message = "too few other controllers know of it yet";
                 waited_for(DRAIN_TIMEOUT).then(|| Response::error(503, 1321, message))
             }
+            Condition::RolloutBegun {
+                service,
+                target,
+                number,
+            } => {
+                let waited_ms = now.saturating_sub(pending.since);
+                self.rollout_begun_response(service, target, *number, waited_ms)
+            }
             Condition::PlacementCommitted { number } => {
                 if self
                     .placement
@@ -130,7 +141,10 @@
         (!is_accepted || !leads || waited_too_long).then(unclear)
     }
 
-    fn read_response(&self) -> Response {
+    fn read_response(&self, query: &ReadQuery) -> Response {
+        if let ReadQuery::Rollout(service) = query {
+            return self.rollout_response(service);
+        }
         match &self.chain.state_machine().config {
             Some((_, body)) => Response::json(body.clone()),
             None => Response::error(404, 1314, "there is no configuration yet"),
--- a/crates/control/controller/src/core/calls/runners.rs
+++ b/crates/control/controller/src/core/calls/runners.rs
@@ -28,8 +28,9 @@
             }
         };
         if let Some(entry) = accepted.publish {
+            let version = self.registry.get(id).map(|runner| &runner.software_version);
             info!(self.log, "runner state published"; "runner" => id,
-                "draining" => accepted.draining);
+                "draining" => accepted.draining, "version" => version.map(|v| v.as_str()));
             self.state_table
                 .set(now, &entry.key, entry.stamp, entry.value);
         }
--- a/crates/control/controller/src/core/frames.rs
+++ b/crates/control/controller/src/core/frames.rs
@@ -10,7 +10,7 @@
 use bytes::Bytes;
 use chain_replication::{DecodeError, Millis};
 use peer_transport::Peer;
-use replicated_state::{HELLO, RELAY};
+use replicated_state::{RolloutReport, HELLO, RELAY, ROLLOUT_REPORT};
 use slog::{info, warn};
 use std::fmt::Display;
 use std::net::SocketAddr;
@@ -24,6 +24,8 @@
     Relay(#[from] relay_tree::DecodeError),
     #[error(transparent)]
     Store(#[from] batch::wire::DecodeError),
+    #[error(transparent)]
+    Rollout(#[from] replicated_state::DecodeError),
     #[error("unknown kind")]
     UnknownKind,
 }
@@ -76,6 +78,9 @@
             BOOTSTRAP => {
                 self.bootstrap_message(now, from.addr, BootstrapMessage::decode(body)?);
             }
+            ROLLOUT_REPORT => {
+                self.record_rollout_report(now, from, RolloutReport::decode(body)?);
+            }
             HELLO => self.dispatchers.record_hello(now, from),
             HEARTBEAT => self.store_heartbeat(now, Heartbeat::decode(body)?),
             _ => return Err(FrameError::UnknownKind),
--- a/crates/control/controller/src/core/leader.rs
+++ b/crates/control/controller/src/core/leader.rs
@@ -33,6 +33,7 @@
         if !leads {
             if self.head_since.take().is_some() {
                 self.stores.reset();
+                self.stop_leading_rollouts();
             }
             return;
         }
@@ -50,6 +51,7 @@
         };
         self.publish_controllers(now);
         self.plan_placement(now, since);
+        self.lead_rollouts(now);
     }
 
     fn plan_placement(&mut self, now: Millis, head_since: Millis) {
--- a/crates/control/controller/src/core/pending.rs
+++ b/crates/control/controller/src/core/pending.rs
@@ -13,6 +13,14 @@
     pub(super) waits_for: Condition,
 }
 
+/// What is read of the control state.
+pub(super) enum ReadQuery {
+    /// The newest configuration.
+    Config,
+    /// The newest roll-out of this service.
+    Rollout(String),
+}
+
 /// What a call waits for.
 pub(super) enum Condition {
     /// A configuration, until it applies. `number` is its entry in the chain, or a later one.
@@ -20,6 +28,7 @@
     /// A reader at the tail, until a majority has confirmed that its view is the newest
     /// (`confirmed`) and all that it saw is committed.
     ReadConfirmed {
+        query: ReadQuery,
         token: u64,
         confirmed: bool,
         number: u64,
@@ -34,6 +43,13 @@
     },
     /// A runner that drains or leaves, until a majority of the controllers know.
     EntryReplicated { key: String, stamp: Stamp },
+    /// A roll-out that was ordered, until it is committed and gateways know it. `number` is its
+    /// entry in the chain, or a later one.
+    RolloutBegun {
+        service: String,
+        target: String,
+        number: u64,
+    },
     /// A placement map that an operator's call led to, until it is committed.
     PlacementCommitted { number: u64 },
 }
--- a/crates/control/controller/src/core/publishing.rs
+++ b/crates/control/controller/src/core/publishing.rs
@@ -10,7 +10,7 @@
 
 /// Those who have not confirmed a configuration by then are out of contact or slow, and are not
 /// waited for.
-const ROLLOUT_TIMEOUT: Millis = 400;
+pub(super) const ACTIVATION_TIMEOUT: Millis = 400;
 
 /// Key of the newest configuration.
 const NEXT_CONFIG_KEY: &str = "config/next";
@@ -21,7 +21,7 @@
 
 /// A configuration that is being put in place.
 #[derive(Debug, Clone, Copy)]
-pub(super) struct Rollout {
+pub(super) struct ConfigActivation {
     version: u64,
     since: Millis,
 }
@@ -56,10 +56,10 @@
             let active = self.state_table.get(ACTIVE_CONFIG_KEY);
             let is_active = active.is_some_and(|entry| entry.stamp >= stamp);
             let is_under_way = self
-                .rollout
-                .is_some_and(|rollout| rollout.version == stamp.0);
+                .config_activation
+                .is_some_and(|activation| activation.version == stamp.0);
             if !is_active && !is_under_way {
-                self.rollout = Some(Rollout {
+                self.config_activation = Some(ConfigActivation {
                     version: stamp.0,
                     since: now,
                 });
@@ -85,8 +85,8 @@
     }
 
     /// Puts a configuration in place once all in contact have it.
-    pub(super) fn advance_rollout(&mut self, now: Millis) {
-        let Some(Rollout { version, since }) = self.rollout else {
+    pub(super) fn advance_config_activation(&mut self, now: Millis) {
+        let Some(ConfigActivation { version, since }) = self.config_activation else {
             return;
         };
         let acks = self
@@ -97,8 +97,8 @@
         let is_first = self.state_table.get(ACTIVE_CONFIG_KEY).is_none();
         let all_have =
             acks.acknowledged >= acks.subscribers && acks.peer_subtrees_acknowledged >= acks.peers;
-        if is_first || all_have || now >= since + ROLLOUT_TIMEOUT {
-            self.rollout = None;
+        if is_first || all_have || now >= since + ACTIVATION_TIMEOUT {
+            self.config_activation = None;
             self.state_table.set(
                 now,
                 ACTIVE_CONFIG_KEY,
--- a/crates/control/controller/src/core/repair.rs
+++ b/crates/control/controller/src/core/repair.rs
@@ -261,7 +261,7 @@
         self.stores.reset();
         self.chain.install_view(now, next.view.clone());
         self.forget_confirmations();
-        self.rollout = None;
+        self.config_activation = None;
         self.last_heartbeat_at = None;
     }
 }
--- a/crates/control/controller/src/core/work.rs
+++ b/crates/control/controller/src/core/work.rs
@@ -29,7 +29,7 @@
                 break;
             }
         }
-        self.advance_rollout(now);
+        self.advance_config_activation(now);
         self.answer_pending(now);
         self.send_state_table();
     }
--- a/crates/control/controller/src/ctl.rs
+++ b/crates/control/controller/src/ctl.rs
@@ -153,12 +153,18 @@
         ("GET", ["-", "retire", node, "get"]) => Call::GetRetirement {
             node: checked_name(node)?,
         },
+        ("POST", ["-", "rollouts", "begin"]) => Call::BeginRollout { body },
+        ("GET", ["-", "rollouts", service, "get"]) => Call::GetRollout {
+            service: checked_name(service)?,
+        },
         ("GET", ["-", "status"]) => Call::GetStatus,
         (
             _,
             ["-", "config", "replace" | "get"]
             | ["-", "runners", _, "beat" | "leave"]
-            | ["-", "retire", _, _],
+            | ["-", "retire", _, _]
+            | ["-", "rollouts", "begin"]
+            | ["-", "rollouts", _, "get"],
         ) => return Err(CallResponse::error(405, 1307, "not with this method")),
         _ => return Err(CallResponse::error(404, 1308, "no such call")),
     })
--- a/crates/control/controller/src/lib.rs
+++ b/crates/control/controller/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod startup;
 mod status;
 mod time;
+pub mod version_rollout;
 
 pub use program::run;
 pub use time::Time;
--- a/crates/control/controller/tests/control_state.rs
+++ b/crates/control/controller/tests/control_state.rs
@@ -2,9 +2,10 @@
 
 use chain_replication::StateMachine;
 use controller::control_state::{
-    digest, Command, ConfigChange, ControlState, MAX_REMEMBERED_CHANGES,
+    digest, Command, ConfigChange, ControlState, RolloutOrder, MAX_REMEMBERED_CHANGES, MAX_ROLLOUTS,
 };
 use proptest::prelude::*;
+use replicated_state::RolloutState;
 
 fn config(base: u64, gen: u64, body: &[u8]) -> Command {
     Command::ReplaceConfig {
@@ -154,3 +155,56 @@
         }
     }
 }
+
+fn begin(service: &str, target: &str) -> Command {
+    Command::BeginRollout {
+        order: RolloutOrder {
+            service: service.into(),
+            target: target.into(),
+            over_ms: 12_000,
+            begun_unix_ms: 7,
+        },
+    }
+}
+
+#[test]
+fn of_two_rollouts_of_a_service_the_later_one_waits_for_the_end() {
+    let mut control = ControlState::default();
+    control.apply(5, &begin("s", "v2").encode());
+    control.apply(6, &begin("s", "v3").encode());
+    let record = control.rollout("s").expect("a roll-out").clone();
+    assert_eq!((record.id, record.order.target), (5, b"v2".to_vec()));
+    let end = |id, state| Command::EndRollout { id, state }.encode();
+    control.apply(7, &end(6, RolloutState::Complete));
+    assert_eq!(
+        control.rollout("s").map(|r| r.state),
+        Some(RolloutState::Rolling)
+    );
+    control.apply(8, &end(5, RolloutState::Reverted));
+    control.apply(9, &end(5, RolloutState::Complete));
+    assert_eq!(
+        control.rollout("s").map(|r| r.state),
+        Some(RolloutState::Reverted)
+    );
+    control.apply(10, &begin("s", "v3").encode());
+    assert_eq!(control.rollout("s").map(|r| r.id), Some(10));
+}
+
+#[test]
+fn rollouts_are_bounded_and_survive_a_snapshot() {
+    let mut control = ControlState::default();
+    control.apply(1, &config(0, 4, b"a").encode());
+    let before = control.snapshot();
+    for number in 0..MAX_ROLLOUTS as u64 + 10 {
+        control.apply(number + 2, &begin(&format!("s{number}"), "v2").encode());
+    }
+    assert_eq!(control.rollouts.len(), MAX_ROLLOUTS);
+    let mut restored = ControlState::default();
+    restored.restore(&control.snapshot()).expect("a snapshot");
+    assert_eq!(restored, control);
+    // One of a version without roll-outs, and one read by such a version: it has the same begin.
+    restored.restore(&before).expect("a snapshot");
+    assert!(restored.rollouts.is_empty());
+    assert!(control.snapshot().starts_with(&before));
+    assert!(restored.restore(&[&before[..], &[9]].concat()).is_err());
+}
--- a/crates/control/controller/tests/ctl.rs
+++ b/crates/control/controller/tests/ctl.rs
@@ -40,6 +40,8 @@
         Call::RunnerLeave { id } => format!("leave of {id}"),
         Call::RetireStore { node } => format!("retire {node}"),
         Call::GetRetirement { node } => format!("retired {node}?"),
+        Call::BeginRollout { body } => format!("roll out {}", text(body)),
+        Call::GetRollout { service } => format!("rolled out {service}?"),
         Call::GetStatus => "status".to_owned(),
     }
 }
@@ -109,6 +111,12 @@
         ("GET", "/-/retire/edge-9/get", "", ""),
         ("GET", "/-/retire/edge-9/begin", "", ""),
         ("GET", "/-/retire/edge-9/other", "", ""),
+        ("POST", "/-/rollouts/begin", "", "{\"Svc\":\"s\"}"),
+        ("GET", "/-/rollouts/begin", "", ""),
+        ("GET", "/-/rollouts/s/get", "", ""),
+        ("GET", "/-/rollouts//get", "", ""),
+        ("POST", "/-/rollouts/s/get", "", ""),
+        ("GET", "/-/rollouts/s/other", "", ""),
         ("GET", "/-/status", "", ""),
         ("POST", "/-/status", "", ""),
         ("GET", "/-/status/", "", ""),
@@ -147,6 +155,12 @@
     GET /-/retire/edge-9/get: 200 retired edge-9?
     GET /-/retire/edge-9/begin: 405 {"Code":1307,"Error":"not with this method"}
     GET /-/retire/edge-9/other: 405 {"Code":1307,"Error":"not with this method"}
+    POST /-/rollouts/begin: 200 roll out {"Svc":"s"}
+    GET /-/rollouts/begin: 405 {"Code":1307,"Error":"not with this method"}
+    GET /-/rollouts/s/get: 200 rolled out s?
+    GET /-/rollouts//get: 400 {"Code":1305,"Error":"a name that is empty or too long"}
+    POST /-/rollouts/s/get: 405 {"Code":1307,"Error":"not with this method"}
+    GET /-/rollouts/s/other: 404 {"Code":1308,"Error":"no such call"}
     GET /-/status: 200 status
     POST /-/status: 404 {"Code":1308,"Error":"no such call"}
     GET /-/status/: 404 {"Code":1308,"Error":"no such call"}
--- a/crates/control/replicated-state/src/error.rs
+++ b/crates/control/replicated-state/src/error.rs
@@ -12,4 +12,10 @@
     /// The zone of a dispatcher's entry is not UTF-8.
     #[error("decode the zone of a dispatcher's entry")]
     Zone(#[source] std::str::Utf8Error),
+    /// They are no entry or report of a roll-out.
+    #[error("decode a roll-out")]
+    Rollout(#[source] binrw::Error),
+    /// A name in a roll-out is not UTF-8.
+    #[error("decode a name in a roll-out")]
+    RolloutName(#[source] std::str::Utf8Error),
 }
--- a/crates/control/replicated-state/src/lib.rs
+++ b/crates/control/replicated-state/src/lib.rs
@@ -8,10 +8,16 @@
 mod dispatcher;
 mod encoding;
 mod error;
+mod version_rollout;
 
 pub use address::{decode_addresses, encode_addresses, Address, MAX_ADDRESSES};
 pub use dispatcher::{Dispatcher, MAX_ZONE_BYTES};
 pub use error::DecodeError;
+pub use version_rollout::{
+    rollout_key, runner_hash, AnswerCounts, RolloutEntry, RolloutReport, RolloutState, RouteReport,
+    FULL_SHARE, MAX_REPORTED_ROUTES, ROLLOUT_KEY_PREFIX, ROLLOUT_LEASE_MS, ROLLOUT_RENEWAL_MS,
+    ROLLOUT_REPORT, ROLLOUT_REPORT_INTERVAL_MS,
+};
 
 /// Kind of the frame with which a dispatcher announces itself to one controller. Its body is empty:
 /// the connection's hello tells who the dispatcher is.
--- a/crates/control/replicated-state/tests/encoding.rs
+++ b/crates/control/replicated-state/tests/encoding.rs
@@ -1,7 +1,9 @@
 //! Entries round-trip, and decoding accepts any input without a panic.
 
 use proptest::prelude::*;
-use replicated_state::{decode_addresses, encode_addresses, Dispatcher};
+use replicated_state::{
+    decode_addresses, encode_addresses, Dispatcher, RolloutEntry, RolloutReport,
+};
 
 proptest! {
     #[test]
@@ -14,5 +16,7 @@
     fn decoding_arbitrary_bytes_does_not_panic(bytes: Vec<u8>) {
         let _ = decode_addresses(&bytes);
         let _ = Dispatcher::decode(&bytes);
+        let _ = RolloutEntry::decode(&bytes);
+        let _ = RolloutReport::decode(&bytes);
     }
 }
--- a/crates/control/replicated-state/tests/wire.rs
+++ b/crates/control/replicated-state/tests/wire.rs
@@ -3,8 +3,9 @@
 #![expect(clippy::unwrap_used, reason = "a test ends at the first surprise")]
 
 use replicated_state::{
-    decode_addresses, encode_addresses, Dispatcher, CONTROLLERS_KEY, DISPATCHER_KEY_PREFIX, HELLO,
-    HELLO_INTERVAL_MS, RELAY,
+    decode_addresses, encode_addresses, rollout_key, runner_hash, AnswerCounts, Dispatcher,
+    RolloutEntry, RolloutReport, RolloutState, RouteReport, CONTROLLERS_KEY, DISPATCHER_KEY_PREFIX,
+    HELLO, HELLO_INTERVAL_MS, RELAY, ROLLOUT_REPORT,
 };
 use std::net::SocketAddr;
 
@@ -73,3 +74,62 @@
     );
     assert!(Dispatcher::decode(&bytes(encoded)[..40]).is_err());
 }
+
+#[test]
+fn names_and_numbers_of_rollouts_stay() {
+    assert_eq!(ROLLOUT_REPORT, 0x0106);
+    assert_eq!(rollout_key("s"), "rollout/s");
+    assert_eq!(runner_hash("i-1"), RUNNER_HASH);
+}
+
+/// All gateways must order runners alike, whatever their version.
+const RUNNER_HASH: u64 = 4_025_801_420_380_823_569;
+
+#[test]
+fn a_rollout_entry_has_these_bytes() {
+    let entry = RolloutEntry {
+        target: "v2".into(),
+        state: RolloutState::Reverted,
+        share: 60_000,
+        max_runner_hash: 0x0102_0304_0506_0708,
+        report_to: "10.1.2.3:7660".parse().unwrap(),
+    };
+    let encoded = "027632".to_owned()
+        + "02"
+        + "60ea0000"
+        + "0807060504030201"
+        + "00000000000000000000ffff0a010203ec1d";
+    assert_eq!(hex(&entry.encode()), encoded);
+    assert_eq!(RolloutEntry::decode(&bytes(&encoded)).unwrap(), entry);
+    assert!(RolloutEntry::decode(&bytes("0276320360ea0000")).is_err());
+}
+
+#[test]
+fn a_rollout_report_has_these_bytes() {
+    let route = RouteReport {
+        route: "r".into(),
+        old: AnswerCounts {
+            answers: 300,
+            bad: 2,
+        },
+        new: AnswerCounts { answers: 4, bad: 1 },
+    };
+    let report = RolloutReport {
+        service: "s".into(),
+        rollout: 9,
+        share: 1_000_000,
+        old_in_flight: 5,
+        routes: vec![route],
+    };
+    let encoded = "0173".to_owned()
+        + "0900000000000000"
+        + "40420f00"
+        + "05000000"
+        + "01"
+        + "0172"
+        + "2c01000002000000"
+        + "0400000001000000";
+    assert_eq!(hex(&report.encode()), encoded);
+    assert_eq!(RolloutReport::decode(&bytes(&encoded)).unwrap(), report);
+    assert!(RolloutReport::decode(&bytes("0173090000000000000040420f000500000041")).is_err());
+}
--- a/crates/dispatcher/fordrelay/tests/tier/local.rs
+++ b/crates/dispatcher/fordrelay/tests/tier/local.rs
@@ -85,6 +85,7 @@
         CancelMs = 3000
         SettleMs = 1000
         QuotaExcess = 0.1
+        CanaryShare = 0.1
         "##);
     // What is printed is such a file itself, with the same settings.
     let again = Temp::new("again", &output.out);
--- a/crates/gateway/gateway/src/codes.rs
+++ b/crates/gateway/gateway/src/codes.rs
@@ -22,6 +22,8 @@
 pub const AT_NEXT_START: u16 = 2_109;
 /// A connection of another process was refused.
 pub const CONNECTION_REFUSED: u16 = 2_110;
+/// The entry of a roll-out can't be read.
+pub const UNREADABLE_ROLLOUT: u16 = 2_112;
 /// An address is still in use, probably by a predecessor that is being stopped; it is waited for.
 pub const ADDRESS_IN_USE: u16 = 2_111;
 /// A runner's answer can't be passed on.
@@ -65,6 +67,11 @@
         "address-in-use",
         "an address is still in use, probably by a predecessor that is being stopped; it is waited for",
     ),
+    (
+        UNREADABLE_ROLLOUT,
+        "unreadable-rollout",
+        "the entry of a roll-out can't be read; the roll-out is as before",
+    ),
     (
         UNEXPECTED_RESPONSE,
         "odd-answer",
--- a/crates/gateway/gateway/src/control.rs
+++ b/crates/gateway/gateway/src/control.rs
@@ -9,8 +9,8 @@
 use peer_transport::{Handler, Peer, Reply};
 use relay_tree::{tree_parents, Follow, Role, Stamp, StateTable};
 use replicated_state::{
-    decode_addresses, Dispatcher, CONTROLLERS_KEY, DISPATCHER_KEY_PREFIX, HELLO, HELLO_INTERVAL_MS,
-    RELAY,
+    decode_addresses, Dispatcher, RolloutEntry, CONTROLLERS_KEY, DISPATCHER_KEY_PREFIX, HELLO,
+    HELLO_INTERVAL_MS, RELAY, ROLLOUT_KEY_PREFIX, ROLLOUT_REPORT,
 };
 use route_config::Config;
 use runner_registry::{Runner, RunnerState};
@@ -178,13 +178,19 @@
     let control = &gateway.control;
     let changes = control.state_table.borrow_mut().take_changed_keys();
     let mut tree = false;
-    for key in &changes {
+    // Runners of a new version come after what is said of it.
+    let (rollouts, others): (Vec<_>, Vec<_>) = changes
+        .iter()
+        .partition(|key| key.starts_with(ROLLOUT_KEY_PREFIX));
+    for key in rollouts.into_iter().chain(others) {
         if let Some(id) = key.strip_prefix(RUNNERS) {
             runner(gateway, now, id, key);
         } else if key == STORES {
             stores(gateway);
         } else if key == CONFIG_NEXT {
             configuration(gateway);
+        } else if let Some(service) = key.strip_prefix(ROLLOUT_KEY_PREFIX) {
+            rollout(gateway, now, service, key);
         } else if key == CONTROLLERS_KEY || key.starts_with(DISPATCHER_KEY_PREFIX) {
             tree = true;
         }
@@ -344,6 +350,33 @@
     }
 }
 
+fn rollout(gateway: &Rc<Gateway>, now: u64, service: &str, key: &str) {
+    let state_entry = gateway.control.state_table.borrow().get(key).cloned();
+    let Some((stamp, value)) = state_entry.and_then(|entry| Some((entry.stamp, entry.value?)))
+    else {
+        return;
+    };
+    match RolloutEntry::decode(&value) {
+        Ok(entry) => {
+            gateway.selector.update_rollout(now, service, stamp, entry);
+        }
+        Err(e) => {
+            increment(&gateway.counts.odd);
+            gateway.log_rate_limited("rollout entry unreadable", |left_out| {
+                warn!(gateway.log, "rollout entry unreadable"; "code" => codes::UNREADABLE_ROLLOUT, "svc" => service,
+                    "why" => %e, "left_out" => left_out);
+            });
+        }
+    }
+}
+
+/// Reports what was seen of roll-outs under way.
+pub fn report_rollouts(gateway: &Rc<Gateway>, now: u64) {
+    for (to, report) in gateway.selector.rollout_reports(now) {
+        gateway.links.send(to, ROLLOUT_REPORT, report.encode());
+    }
+}
+
 fn stores(gateway: &Rc<Gateway>) {
     let value = gateway
         .control
--- a/crates/gateway/gateway/src/process.rs
+++ b/crates/gateway/gateway/src/process.rs
@@ -32,6 +32,8 @@
 const TICK: Duration = Duration::from_millis(100);
 /// How often connections to runners that are kept are looked through, in ticks.
 const SWEEP_EVERY: u64 = 5;
+/// How often roll-outs under way are reported on, in ticks: every 300 ms.
+const REPORT_EVERY: u64 = replicated_state::ROLLOUT_REPORT_INTERVAL_MS / TICK.as_millis() as u64;
 /// Connections that may wait to be accepted: a full queue drops the opening of a client, which comes again after seconds.
 const BACKLOG: u32 = 4_096;
 /// A process that no controller reaches for so long reads its settings again, as often.
@@ -291,6 +293,9 @@
             spawn_local(load_report::fetch_report(Rc::clone(&gateway), key, addr));
         }
         items::tick(&gateway, now);
+        if count % REPORT_EVERY == 0 {
+            control::report_rollouts(&gateway, now);
+        }
         if count % SWEEP_EVERY == 0 {
             gateway.selector.sweep();
         }
--- a/crates/gateway/gateway/src/proxy/in_flight.rs
+++ b/crates/gateway/gateway/src/proxy/in_flight.rs
@@ -2,6 +2,7 @@
 
 use crate::client::request::RUNNER_LOAD;
 use crate::selection::selector::{Key, RunnerSelector};
+use crate::selection::versions::ObservedAttempt;
 use compact_str::CompactString;
 use hyper::HeaderMap;
 use runner_selection::{AttemptId, Outcome, RunnerLoad};
@@ -36,6 +37,7 @@
     pub(crate) selector: RunnerSelector,
     pub(crate) key: Key,
     pub(crate) svc: CompactString,
+    pub(crate) observed: Option<Box<ObservedAttempt>>,
     pub(crate) id: Option<AttemptId>,
     pub(crate) overdue: Rc<Notify>,
 }
@@ -84,6 +86,9 @@
                 .engines
                 .borrow_mut()
                 .first_token_received(now, id);
+            if let Some(observed) = &mut self.observed {
+                observed.first_event(now);
+            }
         }
     }
 
@@ -102,6 +107,11 @@
 
     /// Ends the attempt and wakes the next request that waits for the service.
     pub fn end(&mut self, outcome: AttemptOutcome) {
+        if let Some(observed) = self.observed.take() {
+            let now = self.selector.now();
+            let mut versions = self.selector.0.versions.borrow_mut();
+            versions.record(now, &observed, outcome);
+        }
         self.finish(match outcome {
             AttemptOutcome::Completed => Outcome::Completed,
             AttemptOutcome::Failed => Outcome::ServerError,
--- a/crates/gateway/gateway/src/selection.rs
+++ b/crates/gateway/gateway/src/selection.rs
@@ -7,3 +7,4 @@
 pub mod load_report;
 pub mod queue;
 pub mod selector;
+pub mod versions;
--- a/crates/gateway/gateway/src/selection/selector.rs
+++ b/crates/gateway/gateway/src/selection/selector.rs
@@ -9,8 +9,11 @@
 use crate::gateway::Clock;
 use crate::proxy::in_flight::InFlightAttempt;
 use crate::selection::queue::{Place, Queue, ITEMS};
+use crate::selection::versions::{VersionPool, VersionRollouts};
 use compact_str::CompactString;
 use hyper::header::HeaderValue;
+use relay_tree::Stamp;
+use replicated_state::{RolloutEntry, RolloutReport, FULL_SHARE};
 use route_config::{Config, Route, RouteKind};
 use runner_registry::{Runner, RunnerState};
 use runner_selection::{
@@ -42,6 +45,7 @@
     pool: Pool,
     connect_timeout: ConnectTimeout,
     pub(crate) queue: Queue,
+    pub(crate) versions: RefCell<VersionRollouts>,
     /// Sends that may be told that their runner seems to hang.
     pub(crate) calls: RefCell<HashMap<u64, Rc<Notify>>>,
     seed: Cell<u64>,
@@ -62,6 +66,7 @@
             pool: Pool::default(),
             connect_timeout: ConnectTimeout::default(),
             queue: Queue::default(),
+            versions: RefCell::default(),
             calls: RefCell::default(),
             seed: Cell::new(seed | 1),
             clock,
@@ -101,10 +106,81 @@
         *self.0.config.borrow_mut() = Some(Rc::clone(config));
         let now = self.now();
         for runner in self.0.runners.borrow().values() {
-            self.0
-                .engines
-                .borrow_mut()
-                .update_runner(now, runner, self.terms(&runner.service));
+            self.list_runner(now, runner);
+        }
+    }
+
+    /// Puts a runner into the pool of its service in which it stands now.
+    fn list_runner(&self, now: u64, runner: &Runner) {
+        let terms = self.terms(&runner.service);
+        let pool = self.0.versions.borrow().pool_of(runner);
+        let mut engines = self.0.engines.borrow_mut();
+        if pool == VersionPool::Base {
+            engines.update_runner(now, runner, terms);
+            return;
+        }
+        let pooled = Runner {
+            service: pool.service(&runner.service),
+            ..runner.clone()
+        };
+        engines.update_runner(now, &pooled, terms);
+    }
+
+    /// The controllers say how far the roll-out of a service is.
+    pub fn update_rollout(&self, now: u64, service: &str, stamp: Stamp, entry: RolloutEntry) {
+        let runners = self.0.runners.borrow();
+        let of_service: Vec<_> = runners.values().filter(|r| r.service == service).collect();
+        let pools = || -> Vec<VersionPool> {
+            let versions = self.0.versions.borrow();
+            of_service
+                .iter()
+                .map(|runner| versions.pool_of(runner))
+                .collect()
+        };
+        let before = pools();
+        let applied = self
+            .0
+            .versions
+            .borrow_mut()
+            .apply(now, service, stamp, entry);
+        if !applied {
+            return;
+        }
+        for ((runner, before), after) in of_service.iter().zip(before).zip(pools()) {
+            if before != after {
+                // What is kept for it belongs to its old place.
+                self.close(&runner.id);
+                self.list_runner(now, runner);
+            }
+        }
+        self.0.queue.call(service, WOKEN_ON_UPDATE);
+    }
+
+    /// What is to be reported of roll-outs, and to whom.
+    pub fn rollout_reports(&self, now: u64) -> Vec<(SocketAddr, RolloutReport)> {
+        let engines = self.0.engines.borrow();
+        let versions = self.0.versions.borrow();
+        versions.reports(now, |service| engines.in_flight(service))
+    }
+
+    /// The pool of a service for a request: that of the version that is drawn for it, or the other
+    /// one where that has no runner.
+    fn pool_for(&self, selection: &SelectionRequest<'_>, service: &str) -> VersionPool {
+        let versions = self.0.versions.borrow();
+        let id = selection.request.attempt.as_bytes();
+        let is_first = selection.history.sends == 0;
+        let drawn = versions.pool_for(selection.now, service, id, is_first);
+        let other = match drawn {
+            VersionPool::Base => VersionPool::Target,
+            VersionPool::Target | VersionPool::Standby => VersionPool::Base,
+        };
+        let engines = self.0.engines.borrow();
+        let has_runner = |pool: VersionPool| engines.has_runner_up(&pool.service(service));
+        let falls_back = versions.may_fall_back(service) && !has_runner(drawn);
+        if falls_back && has_runner(other) {
+            other
+        } else {
+            drawn
         }
     }
 
@@ -134,10 +210,7 @@
         if runners.len() >= MAX_RUNNERS && !runners.contains_key(&runner.id) {
             return false;
         }
-        self.0
-            .engines
-            .borrow_mut()
-            .update_runner(now, runner, self.terms(&runner.service));
+        self.list_runner(now, runner);
         let before = runners.insert(runner.id.clone(), Rc::new(runner.clone()));
         drop(runners);
         // Connections to an address that it has left lead elsewhere.
@@ -206,14 +279,17 @@
         self.0.queue.call_all();
     }
 
-    fn want(&self, selection: &SelectionRequest<'_>) -> RequestProfile {
+    /// What matters of a request, with the pool that it goes to in the place of its service.
+    fn want(&self, selection: &SelectionRequest<'_>) -> (RequestProfile, VersionPool) {
         let request = selection.request;
         let whole = |tokens: u64| u32::try_from(tokens).unwrap_or(u32::MAX);
         let ms = |ms: u64| u32::try_from(ms).unwrap_or(u32::MAX);
         let (tokens_in, tokens_out) = request.tokens.map_or((0, 0), |(i, o)| (whole(i), whole(o)));
         let bulk = selection.route.kind == RouteKind::Bulk;
-        RequestProfile {
-            service: self.svc_for(request, selection.route),
+        let service = self.svc_for(request, selection.route);
+        let pool = self.pool_for(selection, &service);
+        let profile = RequestProfile {
+            service: pool.service(&service),
             prompt_parts: request.parts.clone(),
             prompt_tokens: tokens_in,
             max_output_tokens: tokens_out,
@@ -231,7 +307,8 @@
             retryable: bulk
                 || selection.route.kind == RouteKind::Idempotent
                 || selection.route.resumable,
-        }
+        };
+        (profile, pool)
     }
 
     /// The service for a request: drawn by the weights, and kept as long as the route leads there.
@@ -249,11 +326,11 @@
 
     /// Where a request goes now.
     pub fn select(&self, selection: &SelectionRequest<'_>) -> Selection {
-        let want = self.want(selection);
+        let (want, pool) = self.want(selection);
         let chose = self.0.engines.borrow_mut().choose(selection.now, &want);
         match chose {
             BalancerChoice::Send { runner } => {
-                match self.chosen(selection.now, runner, &want, false) {
+                match self.chosen(selection, runner, (&want, pool), Traffic::Live) {
                     Some(chosen) => Selection::Runner(chosen),
                     None => Selection::Wait {
                         until: selection.now + 1,
@@ -269,22 +346,18 @@
 
     fn chosen(
         &self,
-        now: u64,
+        selection: &SelectionRequest<'_>,
         key: Key,
-        want: &RequestProfile,
-        item: bool,
+        (want, pool): (&RequestProfile, VersionPool),
+        traffic: Traffic,
     ) -> Option<SelectedRunner> {
+        let now = selection.now;
         let mut engines = self.0.engines.borrow_mut();
         let id = HeaderValue::from_str(engines.runner_id(key))
             .ok()
             .filter(|id| !id.is_empty())?;
         let addr = engines.runner_addr(key);
-        let send = engines.attempt_started(
-            now,
-            key,
-            want,
-            if item { Traffic::Item } else { Traffic::Live },
-        );
+        let send = engines.attempt_started(now, key, want, traffic);
         drop(engines);
         let overdue = Rc::new(Notify::new());
         if want.retryable {
@@ -293,10 +366,16 @@
                 .borrow_mut()
                 .insert(send.0, Rc::clone(&overdue));
         }
+        let svc = drawn(selection.request);
+        let route = selection.route.name.as_str();
+        let versions = self.0.versions.borrow();
+        let observed = versions.observe(now, (&svc, route), pool, want.max_output_tokens);
+        drop(versions);
         let in_flight = InFlightAttempt {
             selector: self.clone(),
             key,
-            svc: want.service.clone(),
+            svc,
+            observed: observed.map(Box::new),
             id: Some(send),
             overdue,
         };
@@ -310,18 +389,26 @@
 
     /// Where an item of a batch job goes now; none: it is held.
     pub fn select_for_item(&self, selection: &SelectionRequest<'_>) -> Option<SelectedRunner> {
-        let want = self.want(selection);
+        let (want, pool) = self.want(selection);
         let key = self
             .0
             .engines
             .borrow_mut()
             .choose_item(selection.now, &want)?;
-        self.chosen(selection.now, key, &want, true)
+        self.chosen(selection, key, (&want, pool), Traffic::Item)
     }
 
     /// How many items of a service may be fetched now.
     pub fn item_capacity(&self, now: u64, svc: &str) -> u32 {
-        self.0.engines.borrow().item_capacity(now, svc)
+        // The pool to which most of the traffic goes stands for both.
+        let share = self.0.versions.borrow().share(now, svc);
+        let pool = if share > FULL_SHARE / 2 {
+            VersionPool::Target
+        } else {
+            VersionPool::Base
+        };
+        let engines = self.0.engines.borrow();
+        engines.item_capacity(now, &pool.service(svc))
     }
 
     /// Time passes: tells sends whose runner seems to hang, and the runners whose reports are worth their price.
--- a/crates/gateway/gateway/tests/public_answers.rs
+++ b/crates/gateway/gateway/tests/public_answers.rs
@@ -341,6 +341,8 @@
         2108 ended-open
         2109 at-next-start
         2110 connection-refused
+        2111 address-in-use
+        2112 unreadable-rollout
         2301 odd-answer
         "##);
 }
--- a/crates/gateway/runner-selection/src/balancer.rs
+++ b/crates/gateway/runner-selection/src/balancer.rs
@@ -182,6 +182,20 @@
             .is_some_and(|r| r.up && r.health.availability(now) == Availability::Healthy)
     }
 
+    /// Whether some runner of the service is up.
+    pub fn has_runner_up(&self, service: &str) -> bool {
+        let service = self.service_index(service);
+        let service = service.and_then(|at| self.services.get(at));
+        service.is_some_and(|service| service.slots > 0.0)
+    }
+
+    /// Requests and items of this dispatcher in flight at runners of the service.
+    pub fn in_flight(&self, service: &str) -> u32 {
+        let service = self.service_index(service);
+        let service = service.and_then(|at| self.services.get(at));
+        service.map_or(0, |service| service.in_flight)
+    }
+
     /// The key of a runner, by its id.
     pub fn runner_key(&self, id: &str) -> Option<RunnerKey> {
         self.key_by_id.get(id).copied()
