A full share of a roll-out stays at gateways that don't hear of it again

What clients would see: failures for seconds. Found by reading: an end is committed and read as complete, so the old runners stop, and the head is killed before it is told; after 2.5 s without renewals gateways would send all to runners that were stopped. Now a gateway stops sending to the new version without renewals only as long as less than all goes there.

--- a/crates/gateway/gateway/src/selection/versions.rs
+++ b/crates/gateway/gateway/src/selection/versions.rs
@@ -151,12 +151,15 @@
 }
 
 impl ServiceRollout {
-    /// The share of requests for the new version now, in millionths.
+    /// The share of requests for the new version now, in millionths. Once all requests go there it
+    /// stays so without renewals: the end may be committed, and the old runners stopped, before it
+    /// is heard of here.
     fn share(&self, now: u64) -> u32 {
+        let is_stale = now.saturating_sub(self.received_at) > ROLLOUT_LEASE_MS;
         match self.entry.state {
             RolloutState::Complete => FULL_SHARE,
             RolloutState::Reverted => 0,
-            RolloutState::Rolling if now.saturating_sub(self.received_at) > ROLLOUT_LEASE_MS => 0,
+            RolloutState::Rolling if is_stale && self.entry.share < FULL_SHARE => 0,
             RolloutState::Rolling => self.entry.share,
         }
     }
