--- a/crates/dispatcher/fordrelay/src/tier/args.rs
+++ b/crates/dispatcher/fordrelay/src/tier/args.rs
@@ -25,6 +25,8 @@
     },
     /// Retire a storage machine, or print how far that is.
     Retire(Retire),
+    /// Move a service to another version, or print how far that is.
+    Rollout(Rollout),
     /// Print the results of a batch job.
     BatchRead {
         /// The job.
@@ -88,6 +90,28 @@
     pub ctl: Vec<SocketAddr>,
 }
 
+/// Moves a service to another version, or asks how far that is.
+#[derive(Debug, Clone)]
+pub struct Rollout {
+    /// The service.
+    pub service: String,
+    /// What is ordered; none only asks.
+    pub order: Option<RolloutOrder>,
+    /// When to stop.
+    pub wait: Wait,
+    /// Addresses of controllers.
+    pub ctl: Vec<SocketAddr>,
+}
+
+/// The order of a roll-out.
+#[derive(Debug, Clone)]
+pub struct RolloutOrder {
+    /// The new version.
+    pub target: String,
+    /// Seconds within which it is to be done.
+    pub over_s: f64,
+}
+
 /// A batch job.
 #[derive(Debug, Clone)]
 pub struct BatchJob {
@@ -205,6 +229,30 @@
     .map(TierCommand::Retire)
 }
 
+fn rollout() -> impl Parser<TierCommand> {
+    let target = long("to")
+        .help("Begin it: the new version; without this, only say how far it is")
+        .argument::<String>("VERSION");
+    let over_s = long("over")
+        .help("Seconds within which it is to be done")
+        .argument::<f64>("S")
+        .guard(|s| s.is_finite() && *s > 0.0, "must be above 0");
+    let order = construct!(RolloutOrder { target, over_s }).optional();
+    let wait = long("follow")
+        .help("Go on until it is complete or reverted")
+        .switch()
+        .map(Wait::from_switch);
+    let ctl = ctl();
+    let service = positional::<String>("SERVICE").help("The name of a service");
+    construct!(Rollout {
+        order,
+        wait,
+        ctl,
+        service
+    })
+    .map(TierCommand::Rollout)
+}
+
 fn batch_job() -> impl Parser<BatchJob> {
     let host = long("host")
         .help("The host of its route")
@@ -275,6 +323,10 @@
         .to_options()
         .descr("Empties a storage machine, or says how far that is")
         .command("retire");
+    let rollout = rollout()
+        .to_options()
+        .descr("Moves a service to another version, or says how far that is")
+        .command("rollout");
     let batch_jobs = batch_jobs()
         .to_options()
         .descr("Reads or ends a batch job")
@@ -291,5 +343,13 @@
         .to_options()
         .descr("Prints all result codes, as Markdown")
         .command("codes");
-    construct!([config, retire, batch_jobs, status, settings, result_codes])
+    construct!([
+        config,
+        retire,
+        rollout,
+        batch_jobs,
+        status,
+        settings,
+        result_codes
+    ])
 }
--- a/crates/dispatcher/fordrelay/src/tier/error.rs
+++ b/crates/dispatcher/fordrelay/src/tier/error.rs
@@ -25,6 +25,7 @@
     (310, "not-now", "Refused for now at every try (408, 421, 429)."),
     (311, "not-all", "Not every address answered."),
     (312, "program", "The program itself could not go on."),
+    (313, "reverted", "The new version was found to be bad: all traffic goes to the old one."),
 ];
 
 /// Why a command failed. The texts are those that the operators' pages give.
@@ -59,6 +60,9 @@
     /// What the system says.
     #[error("O312 program: {0}")]
     Program(#[source] std::io::Error),
+    /// A roll-out that was followed was taken back.
+    #[error("O313 reverted: version {0} was found to be bad")]
+    Reverted(String),
     /// An invalid configuration.
     #[error(transparent)]
     Config(#[from] ConfigError),
--- a/crates/dispatcher/fordrelay/src/tier/mod.rs
+++ b/crates/dispatcher/fordrelay/src/tier/mod.rs
@@ -12,6 +12,7 @@
 mod output;
 mod result_codes;
 mod retire;
+mod rollout;
 mod settings;
 mod status;
 
@@ -51,6 +52,7 @@
         TierCommand::ConfigGet { ctl } => runtime.block_on(config::get(&ctl)),
         TierCommand::ConfigCheck { file } => config::check(&file).map(|_| ()),
         TierCommand::Retire(args) => runtime.block_on(retire::retire(&args)),
+        TierCommand::Rollout(args) => runtime.block_on(rollout::rollout(&args)),
         TierCommand::BatchRead { job, start, wait } => {
             runtime.block_on(batch_jobs::read(&job, start, wait))
         }
--- a/crates/dispatcher/fordrelay/tests/tier/controllers.rs
+++ b/crates/dispatcher/fordrelay/tests/tier/controllers.rs
@@ -38,6 +38,59 @@
     );
 }
 
+fn progress(state: &str) -> Answer {
+    respond(
+        "200 OK",
+        &format!("{{\"State\":\"{state}\",\"Target\":\"v2\"}}"),
+    )
+}
+
+#[test]
+fn a_rollout_is_ordered_and_followed_to_completion() {
+    let controller = StubServer::new(vec![
+        respond("200 OK", ""),
+        progress("rolling"),
+        progress("complete"),
+    ]);
+    let addr = controller.addr.to_string();
+    let order = [
+        "rollout", "a b-c", "--to", "v2", "--over", "12", "--follow", "--ctl", &addr,
+    ];
+    let output = tier(&order);
+    assert_eq!((output.exit_code, output.err.as_str()), (0, ""));
+    assert_eq!(
+        output.out,
+        format!("begun, by {addr}\nrolling, to v2, by {addr}\ncomplete, to v2, by {addr}\n")
+    );
+    let get = "GET /-/rollouts/a%20b-c/get host=ADDR";
+    assert_eq!(
+        controller.requests(),
+        [
+            "POST /-/rollouts/begin host=ADDR {\"Svc\":\"a b-c\",\"Target\":\"v2\",\"OverS\":12.0}",
+            get,
+            get
+        ]
+    );
+}
+
+#[test]
+fn a_rollout_that_is_reverted_is_an_error_for_who_follows_it() {
+    let controller = StubServer::new(vec![progress("reverted"), progress("reverted")]);
+    let addr = controller.addr.to_string();
+    let asked = tier(&["rollout", "s", "--ctl", &addr]);
+    assert_eq!(
+        (asked.exit_code, asked.out),
+        (0, format!("reverted, to v2, by {addr}\n"))
+    );
+    let followed = tier(&["rollout", "s", "--follow", "--ctl", &addr]);
+    assert_eq!(followed.exit_code, 1);
+    assert!(
+        followed.err.contains("O313 reverted: version v2"),
+        "{}",
+        followed.err
+    );
+}
+
 #[test]
 fn progress_can_be_queried_alone() {
     let controller = StubServer::new(vec![
--- a/crates/dispatcher/fordrelay/tests/tier/exit_codes.rs
+++ b/crates/dispatcher/fordrelay/tests/tier/exit_codes.rs
@@ -163,6 +163,7 @@
         | O310 | not-now | Refused for now at every try (408, 421, 429). |
         | O311 | not-all | Not every address answered. |
         | O312 | program | The program itself could not go on. |
+        | O313 | reverted | The new version was found to be bad: all traffic goes to the old one. |
         "##);
 }
 
