A new version gets no more than its share when the old runners are gone

Found by reading the change again: a gateway that knew no old runner sent every request to a version that was still being tried. Now only the other way round is open: the old version stands in for a new one without runners.

--- a/crates/gateway/gateway/src/selection/selector.rs
+++ b/crates/gateway/gateway/src/selection/selector.rs
@@ -9,7 +9,7 @@
 use crate::gateway::Clock;
 use crate::proxy::in_flight::InFlightAttempt;
 use crate::selection::queue::{Place, Queue, ITEMS};
-use crate::selection::versions::{VersionPool, VersionRollouts};
+use crate::selection::versions::{DrawnRequest, VersionPool, VersionRollouts};
 use compact_str::CompactString;
 use hyper::header::HeaderValue;
 use relay_tree::Stamp;
@@ -38,6 +38,13 @@
     request.svc.borrow().clone().unwrap_or_default()
 }
 
+/// What matters of a request, and the pool of runners that it goes to.
+struct PooledRequest {
+    /// With the pool in the place of the service.
+    profile: RequestProfile,
+    pool: VersionPool,
+}
+
 pub(crate) struct Inner {
     pub(crate) engines: RefCell<Balancer>,
     runners: RefCell<HashMap<CompactString, Rc<Runner>>>,
@@ -163,25 +170,16 @@
         versions.reports(now, |service| engines.in_flight(service))
     }
 
-    /// The pool of a service for a request: that of the version that is drawn for it, or the other
-    /// one where that has no runner.
+    /// The pool of a service for a request.
     fn pool_for(&self, selection: &SelectionRequest<'_>, service: &str) -> VersionPool {
-        let versions = self.0.versions.borrow();
-        let id = selection.request.attempt.as_bytes();
-        let is_first = selection.history.sends == 0;
-        let drawn = versions.pool_for(selection.now, service, id, is_first);
-        let other = match drawn {
-            VersionPool::Base => VersionPool::Target,
-            VersionPool::Target | VersionPool::Standby => VersionPool::Base,
+        let request = DrawnRequest {
+            id: selection.request.attempt.as_bytes(),
+            is_first_attempt: selection.history.sends == 0,
         };
         let engines = self.0.engines.borrow();
         let has_runner = |pool: VersionPool| engines.has_runner_up(&pool.service(service));
-        let falls_back = versions.may_fall_back(service) && !has_runner(drawn);
-        if falls_back && has_runner(other) {
-            other
-        } else {
-            drawn
-        }
+        let versions = self.0.versions.borrow();
+        versions.pool_for(selection.now, service, request, has_runner)
     }
 
     fn terms(&self, svc: &str) -> ServiceTerms {
@@ -280,7 +278,7 @@
     }
 
     /// What matters of a request, with the pool that it goes to in the place of its service.
-    fn want(&self, selection: &SelectionRequest<'_>) -> (RequestProfile, VersionPool) {
+    fn want(&self, selection: &SelectionRequest<'_>) -> PooledRequest {
         let request = selection.request;
         let whole = |tokens: u64| u32::try_from(tokens).unwrap_or(u32::MAX);
         let ms = |ms: u64| u32::try_from(ms).unwrap_or(u32::MAX);
@@ -308,7 +306,7 @@
                 || selection.route.kind == RouteKind::Idempotent
                 || selection.route.resumable,
         };
-        (profile, pool)
+        PooledRequest { profile, pool }
     }
 
     /// The service for a request: drawn by the weights, and kept as long as the route leads there.
@@ -326,11 +324,15 @@
 
     /// Where a request goes now.
     pub fn select(&self, selection: &SelectionRequest<'_>) -> Selection {
-        let (want, pool) = self.want(selection);
-        let chose = self.0.engines.borrow_mut().choose(selection.now, &want);
+        let want = self.want(selection);
+        let chose = self
+            .0
+            .engines
+            .borrow_mut()
+            .choose(selection.now, &want.profile);
         match chose {
             BalancerChoice::Send { runner } => {
-                match self.chosen(selection, runner, (&want, pool), Traffic::Live) {
+                match self.chosen(selection, runner, &want, Traffic::Live) {
                     Some(chosen) => Selection::Runner(chosen),
                     None => Selection::Wait {
                         until: selection.now + 1,
@@ -348,7 +350,7 @@
         &self,
         selection: &SelectionRequest<'_>,
         key: Key,
-        (want, pool): (&RequestProfile, VersionPool),
+        want: &PooledRequest,
         traffic: Traffic,
     ) -> Option<SelectedRunner> {
         let now = selection.now;
@@ -357,10 +359,10 @@
             .ok()
             .filter(|id| !id.is_empty())?;
         let addr = engines.runner_addr(key);
-        let send = engines.attempt_started(now, key, want, traffic);
+        let send = engines.attempt_started(now, key, &want.profile, traffic);
         drop(engines);
         let overdue = Rc::new(Notify::new());
-        if want.retryable {
+        if want.profile.retryable {
             self.0
                 .calls
                 .borrow_mut()
@@ -369,7 +371,8 @@
         let svc = drawn(selection.request);
         let route = selection.route.name.as_str();
         let versions = self.0.versions.borrow();
-        let observed = versions.observe(now, (&svc, route), pool, want.max_output_tokens);
+        let observed =
+            versions.observe(now, &svc, route, want.pool, want.profile.max_output_tokens);
         drop(versions);
         let in_flight = InFlightAttempt {
             selector: self.clone(),
@@ -389,13 +392,13 @@
 
     /// Where an item of a batch job goes now; none: it is held.
     pub fn select_for_item(&self, selection: &SelectionRequest<'_>) -> Option<SelectedRunner> {
-        let (want, pool) = self.want(selection);
+        let want = self.want(selection);
         let key = self
             .0
             .engines
             .borrow_mut()
-            .choose_item(selection.now, &want)?;
-        self.chosen(selection, key, (&want, pool), Traffic::Item)
+            .choose_item(selection.now, &want.profile)?;
+        self.chosen(selection, key, &want, Traffic::Item)
     }
 
     /// How many items of a service may be fetched now.
--- a/crates/gateway/gateway/src/selection/versions.rs
+++ b/crates/gateway/gateway/src/selection/versions.rs
@@ -28,7 +28,7 @@
 const MIN_BASELINE: f64 = 10.0;
 /// So many answers the usual times remember.
 const BASELINE_MEMORY: f64 = 100.0;
-/// Answers of fewer tokens are measured as a whole.
+/// Answers of fewer tokens are measured from start to end.
 const MIN_TOKENS: u32 = 20;
 
 /// A pool of a service's runners.
@@ -54,6 +54,15 @@
     }
 }
 
+/// What the draw of a version goes by.
+#[derive(Debug, Clone, Copy)]
+pub struct DrawnRequest<'a> {
+    /// The request's own id: the same at each attempt, random among requests.
+    pub id: &'a [u8],
+    /// What was attempted before goes to the old version, unless all goes to the new one.
+    pub is_first_attempt: bool,
+}
+
 /// An attempt whose answer counts for the roll-out of its service.
 #[derive(Debug, Clone)]
 pub struct ObservedAttempt {
@@ -98,8 +107,8 @@
     new: AnswerCounts,
     /// Milliseconds for each token behind the first event, of the old version.
     per_token_ms: Baseline,
-    /// Milliseconds of a whole answer, of the old version.
-    whole_ms: Baseline,
+    /// Milliseconds from the start of an attempt to its end, of the old version.
+    total_ms: Baseline,
     /// Milliseconds to the first event, of the old version.
     first_event_ms: Baseline,
 }
@@ -126,8 +135,8 @@
                 rest_ms / f64::from(attempt.tokens_out),
             )
         } else {
-            let whole_ms = now.saturating_sub(attempt.started_at) as f64;
-            (&mut self.whole_ms, whole_ms)
+            let total_ms = now.saturating_sub(attempt.started_at) as f64;
+            (&mut self.total_ms, total_ms)
         };
         let is_slow = baseline.is_exceeded(value, SLOW_FACTOR, 0.0)
             || self
@@ -153,7 +162,7 @@
 impl ServiceRollout {
     /// The share of requests for the new version now, in millionths. Once all requests go there it
     /// stays so without renewals: the end may be committed, and the old runners stopped, before it
-    /// is heard of here.
+    /// is received here.
     fn share(&self, now: u64) -> u32 {
         let is_stale = now.saturating_sub(self.received_at) > ROLLOUT_LEASE_MS;
         match self.entry.state {
@@ -223,39 +232,36 @@
         rollout.map_or(0, |rollout| rollout.share(now))
     }
 
-    /// The pool for a request. `id`: its own, the same at each attempt, random among requests.
-    /// A request that was attempted before goes to the old version as long as there is a choice.
+    /// The pool for a request: that of the version that is drawn for it, or the old one where the
+    /// new version has no runner. Never the other way round: a new version gets no more than its
+    /// share, whatever becomes of the old runners.
     pub fn pool_for(
         &self,
         now: u64,
         service: &str,
-        id: &[u8],
-        is_first_attempt: bool,
+        request: DrawnRequest<'_>,
+        has_runner: impl Fn(VersionPool) -> bool,
     ) -> VersionPool {
         let share = self.share(now, service);
         let drawn = || {
-            let id = String::from_utf8_lossy(id);
+            let id = String::from_utf8_lossy(request.id);
             (runner_hash(&id) % u64::from(FULL_SHARE)) as u32
         };
-        if share >= FULL_SHARE || (is_first_attempt && share > 0 && drawn() < share) {
+        let is_drawn = request.is_first_attempt && share > 0 && drawn() < share;
+        let is_target = share >= FULL_SHARE || is_drawn;
+        if is_target && (has_runner(VersionPool::Target) || !has_runner(VersionPool::Base)) {
             VersionPool::Target
         } else {
             VersionPool::Base
         }
     }
 
-    /// Whether the other pool may be used where one has no runner: never a version that was
-    /// reverted.
-    pub fn may_fall_back(&self, service: &str) -> bool {
-        let rollout = self.by_service.get(service);
-        rollout.is_some_and(|rollout| rollout.entry.state != RolloutState::Reverted)
-    }
-
     /// An attempt begins; none where nothing has to be learned of it.
     pub fn observe(
         &self,
         now: u64,
-        (service, route): (&str, &str),
+        service: &str,
+        route: &str,
         pool: VersionPool,
         tokens_out: u32,
     ) -> Option<ObservedAttempt> {
--- a/crates/gateway/gateway/tests/versions.rs
+++ b/crates/gateway/gateway/tests/versions.rs
@@ -1,7 +1,7 @@
 //! Which version a request goes to while a roll-out is under way, and what counts against it.
 
 use gateway::proxy::in_flight::AttemptOutcome;
-use gateway::selection::versions::{VersionPool, VersionRollouts};
+use gateway::selection::versions::{DrawnRequest, VersionPool, VersionRollouts};
 use relay_tree::Stamp;
 use replicated_state::{
     runner_hash, AnswerCounts, RolloutEntry, RolloutState, FULL_SHARE, ROLLOUT_LEASE_MS,
@@ -48,7 +48,11 @@
     let requests = 20_000;
     let to_target = (0..requests).filter(|number| {
         let id = format!("{number:016x}");
-        let pool = rollouts.pool_for(now, SERVICE, id.as_bytes(), is_first_attempt);
+        let request = DrawnRequest {
+            id: id.as_bytes(),
+            is_first_attempt,
+        };
+        let pool = rollouts.pool_for(now, SERVICE, request, |_| true);
         pool == VersionPool::Target
     });
     to_target.count() as f64 / f64::from(requests)
@@ -97,7 +101,23 @@
     assert_eq!(target_share(&complete, late, false), 1.0);
     let reverted = rollouts(RolloutState::Reverted, 0);
     assert_eq!(target_share(&reverted, late, true), 0.0);
-    assert!(complete.may_fall_back(SERVICE) && !reverted.may_fall_back(SERVICE));
+}
+
+/// Guards against EXPOSURE: a version got more than its share once the old runners were gone.
+#[test]
+fn a_new_version_gets_no_more_than_its_share_when_the_old_runners_are_gone() {
+    let pool = |rollouts: &VersionRollouts, present: VersionPool| {
+        let request = DrawnRequest {
+            id: b"any",
+            is_first_attempt: false,
+        };
+        rollouts.pool_for(NOW, SERVICE, request, |pool| pool == present)
+    };
+    let canary = rollouts(RolloutState::Rolling, FULL_SHARE / 10);
+    assert_eq!(pool(&canary, VersionPool::Target), VersionPool::Base);
+    let complete = rollouts(RolloutState::Complete, FULL_SHARE);
+    assert_eq!(pool(&complete, VersionPool::Target), VersionPool::Target);
+    assert_eq!(pool(&complete, VersionPool::Base), VersionPool::Base);
 }
 
 #[test]
@@ -130,7 +150,7 @@
 
 /// Records an answer of a stream of 100 tokens that begins after 20 ms.
 fn answer(rollouts: &mut VersionRollouts, pool: VersionPool, took: u64, outcome: AttemptOutcome) {
-    let observed = rollouts.observe(NOW, (SERVICE, "r"), pool, 100);
+    let observed = rollouts.observe(NOW, SERVICE, "r", pool, 100);
     let mut observed = observed.expect("a roll-out under way");
     observed.first_event(NOW + 20);
     rollouts.record(NOW + took, &observed, outcome);
@@ -195,7 +215,7 @@
 #[test]
 fn answers_of_an_earlier_rollout_are_not_counted() {
     let mut rollouts = rollouts(RolloutState::Rolling, 1);
-    let observed = rollouts.observe(NOW, (SERVICE, "r"), VersionPool::Target, 100);
+    let observed = rollouts.observe(NOW, SERVICE, "r", VersionPool::Target, 100);
     assert!(rollouts.apply(NOW, SERVICE, Stamp(5, 1), entry(RolloutState::Rolling, 1)));
     rollouts.record(NOW + 30, &observed.expect("one"), AttemptOutcome::Failed);
     assert_eq!(seen(&rollouts), Default::default());
