Reports of restarted gateways are added up, and routes of a roll-out are bounded

The head kept each report of a gateway that was restarted, 4,096 of 64 routes: some 15 MB at worst on machines of 160 MB. They are one sum now, of 1,024 routes at most, held by a test.

--- a/crates/control/controller/src/core/version_rollouts.rs
+++ b/crates/control/controller/src/core/version_rollouts.rs
@@ -39,8 +39,8 @@
     id: u64,
     plan: RolloutPlan,
     reporters: BTreeMap<SocketAddr, Reporter>,
-    /// What restarted gateways had seen.
-    earlier: Vec<RolloutReport>,
+    /// What gateways had seen before they were restarted.
+    earlier: Evidence,
     published_at: Option<Millis>,
     published: Option<RolloutEntry>,
     proposed_at: Option<Millis>,
@@ -52,7 +52,7 @@
             id: record.id,
             plan: RolloutPlan::new(record.order.over_ms, canary_share),
             reporters: BTreeMap::new(),
-            earlier: Vec::new(),
+            earlier: Evidence::default(),
             published_at: None,
             published: None,
             proposed_at: None,
@@ -70,19 +70,16 @@
             return;
         }
         if let Some(before) = self.reporters.insert(from.addr, reporter) {
-            if before.incarnation != from.id && self.earlier.len() < MAX_REPORTERS {
-                self.earlier.push(before.report);
+            if before.incarnation != from.id {
+                self.earlier.add_report(&before.report);
             }
         }
     }
 
     fn evidence(&self) -> Evidence {
-        let mut evidence = Evidence::default();
-        let newest = self.reporters.values().map(|reporter| &reporter.report);
-        for report in newest.chain(&self.earlier) {
-            for route in &report.routes {
-                evidence.add(&route.route, route.old, route.new);
-            }
+        let mut evidence = self.earlier.clone();
+        for reporter in self.reporters.values() {
+            evidence.add_report(&reporter.report);
         }
         evidence
     }
--- a/crates/control/controller/src/version_rollout/evidence.rs
+++ b/crates/control/controller/src/version_rollout/evidence.rs
@@ -5,7 +5,7 @@
 //! one's allows, against that it is clearly higher. The old version is measured in the same
 //! seconds, so what troubles both condemns none.
 
-use replicated_state::AnswerCounts;
+use replicated_state::{AnswerCounts, RolloutReport};
 use std::collections::BTreeMap;
 
 /// ln(1 / share of good versions condemned by one of the tests).
@@ -51,6 +51,9 @@
     Bad,
 }
 
+/// Routes that are told apart at most: those of reports beyond them are not counted.
+const MAX_ROUTES: usize = 1_024;
+
 /// What all gateways saw, by route.
 #[derive(Debug, Clone, Default)]
 pub struct Evidence {
@@ -91,7 +94,7 @@
 impl Evidence {
     /// Adds what one gateway saw on a route.
     pub fn add(&mut self, route: &str, old: AnswerCounts, new: AnswerCounts) {
-        if !self.routes.contains_key(route) {
+        if !self.routes.contains_key(route) && self.routes.len() < MAX_ROUTES {
             self.routes.insert(route.to_owned(), RouteCounts::default());
         }
         if let Some(counts) = self.routes.get_mut(route) {
@@ -99,6 +102,13 @@
         }
     }
 
+    /// Adds all that one gateway reported.
+    pub fn add_report(&mut self, report: &RolloutReport) {
+        for route in &report.routes {
+            self.add(&route.route, route.old, route.new);
+        }
+    }
+
     /// All routes together.
     pub fn total(&self) -> RouteCounts {
         let mut total = RouteCounts::default();
--- a/crates/control/controller/tests/version_rollout.rs
+++ b/crates/control/controller/tests/version_rollout.rs
@@ -173,6 +173,15 @@
     }
 }
 
+#[test]
+fn routes_are_bounded() {
+    let mut evidence = Evidence::default();
+    for number in 0..5_000 {
+        evidence.add(&format!("r{number}"), counts(0, 0), counts(1, 0));
+    }
+    assert_eq!(evidence.total().new_answers, 1_024);
+}
+
 #[test]
 fn a_few_bad_answers_condemn_none() {
     let few = RouteCounts {
