--- a/crates/control/controller/tests/program.rs
+++ b/crates/control/controller/tests/program.rs
@@ -1,7 +1,7 @@
 //! The program: its exit status and the code of its last line for each way to fail, and an orderly
 //! end after SIGTERM.
 
-use std::io::{BufRead, BufReader};
+use std::io::{BufRead, BufReader, Read, Write};
 use std::net::TcpListener;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
@@ -199,3 +199,32 @@
     let rest: Vec<String> = lines.map_while(Result::ok).collect();
     assert_eq!(child.wait().expect("an end").code(), Some(0), "{rest:?}");
 }
+
+/// Guards against SHORT: the order of a roll-out was answered 404, so that it was never acknowledged.
+#[test]
+fn the_order_of_a_rollout_is_a_call_that_exists() {
+    let directory = Directory::new("rollout");
+    let (peers, ctl) = (free_port(), free_port());
+    let settings = settings("edge-1", &directory.data(), peers, ctl);
+    let mut child = start(&directory, &settings);
+    let until = Instant::now() + Duration::from_secs(20);
+    let mut stream = loop {
+        if let Ok(stream) = std::net::TcpStream::connect(("127.0.0.1", ctl)) {
+            break stream;
+        }
+        assert!(Instant::now() < until, "it does not listen");
+        std::thread::sleep(Duration::from_millis(10));
+    };
+    let body = r#"{"Svc":"s","Target":"v2","OverS":12}"#;
+    let request = format!(
+        "POST /-/rollouts/begin HTTP/1.1\r\nHost: c\r\nConnection: close\r\nContent-Length: {}\r\n\r\n{body}",
+        body.len()
+    );
+    stream.write_all(request.as_bytes()).expect("a request");
+    let mut answer = String::new();
+    stream.read_to_string(&mut answer).expect("an answer");
+    child.kill().expect("its end");
+    child.wait().expect("its end");
+    // Without a configuration nothing can be ordered yet, and the caller is to come again.
+    assert!(answer.starts_with("HTTP/1.1 503"), "{answer}");
+}
