One function listens, with the grace period of the predecessor

The three programs built the same options each; the library takes the grace period and adds its margin. The test of an address that stays in use holds the sum of both, in the place of one that compared the two.

--- a/crates/batch/batch-store/src/process.rs
+++ b/crates/batch/batch-store/src/process.rs
@@ -11,7 +11,7 @@
 use driver::{Controllers, Driver};
 use error::ProcessError;
 use peer_transport::{ConnectionEvent, Handler, Peer, Transport};
-use process_startup::{predecessor_timeout, ListenError, ListenOptions, Signals};
+use process_startup::{ListenError, Signals};
 use relay_tree::{Follow, Role, StateTable};
 use slog::{crit, info, warn, Logger};
 use std::cell::{Cell, RefCell};
@@ -101,12 +101,9 @@
     addr: SocketAddr,
     log: &Logger,
 ) -> Result<TcpListener, ProcessError> {
-    let options = ListenOptions {
-        backlog: LISTEN_BACKLOG,
-        timeout: predecessor_timeout(Duration::from_millis(settings.bounds.grace_ms)),
-    };
+    let grace = Duration::from_millis(settings.bounds.grace_ms);
     let waiting = |addr| warn!(log, "address in use, waiting"; "code" => 2214, "addr" => %addr);
-    let opened = process_startup::listen(addr, options, waiting).await;
+    let opened = process_startup::listen(addr, LISTEN_BACKLOG, grace, waiting).await;
     opened.map_err(|ListenError { addr, source }| ProcessError::Listen { addr, source })
 }
 
--- a/crates/common/process-startup/src/lib.rs
+++ b/crates/common/process-startup/src/lib.rs
@@ -7,5 +7,5 @@
 mod listener;
 mod signals;
 
-pub use listener::{listen, predecessor_timeout, ListenError, ListenOptions};
+pub use listener::{listen, ListenError};
 pub use signals::Signals;
--- a/crates/common/process-startup/src/listener.rs
+++ b/crates/common/process-startup/src/listener.rs
@@ -11,15 +11,6 @@
 /// What a predecessor may take beyond its grace period until its sockets are closed.
 const PREDECESSOR_MARGIN: Duration = Duration::from_secs(2);
 
-/// How a socket listens.
-#[derive(Debug, Clone, Copy)]
-pub struct ListenOptions {
-    /// Connections that may wait to be accepted.
-    pub backlog: u32,
-    /// How long an address in use is waited for.
-    pub timeout: Duration,
-}
-
 /// An address at which a process can't listen.
 #[derive(Debug)]
 pub struct ListenError {
@@ -29,27 +20,22 @@
     pub source: io::Error,
 }
 
-/// How long a predecessor may hold an address: until the platform has killed it.
-///
-/// `grace`: from SIGTERM to SIGKILL (`GraceS`).
-pub fn predecessor_timeout(grace: Duration) -> Duration {
-    grace + PREDECESSOR_MARGIN
-}
-
-/// Listens at an address. One that is in use is waited for, since a predecessor that is being
-/// stopped may hold it; `waiting` is called once when the wait begins.
+/// Listens at an address, with so many connections that may wait to be accepted. An address in use
+/// is waited for until a predecessor that is being stopped has been killed, and a margin; `waiting`
+/// is called once when the wait begins. `grace`: from SIGTERM to SIGKILL (`GraceS`).
 ///
 /// # Errors
-/// The address is still in use after the time-out, or can't be listened at for another reason.
+/// The address is still in use then, or can't be listened at for another reason.
 pub async fn listen(
     addr: SocketAddr,
-    options: ListenOptions,
+    backlog: u32,
+    grace: Duration,
     waiting: impl FnOnce(SocketAddr),
 ) -> Result<TcpListener, ListenError> {
-    let deadline = Instant::now() + options.timeout;
+    let deadline = Instant::now() + grace + PREDECESSOR_MARGIN;
     let mut waiting = Some(waiting);
     loop {
-        let source = match open(addr, options.backlog) {
+        let source = match open(addr, backlog) {
             Ok(listener) => return Ok(listener),
             Err(source) => source,
         };
--- a/crates/common/process-startup/tests/startup.rs
+++ b/crates/common/process-startup/tests/startup.rs
@@ -1,18 +1,16 @@
 //! Signals are kept from the installation on; an address in use is waited for, and no longer than
 //! was said.
 
-use process_startup::{listen, predecessor_timeout, ListenOptions, Signals};
+use process_startup::{listen, Signals};
 use std::io;
 use std::net::TcpListener;
 use std::process::Command;
 use std::time::{Duration, Instant};
 
-fn options(timeout_ms: u64) -> ListenOptions {
-    ListenOptions {
-        backlog: 16,
-        timeout: Duration::from_millis(timeout_ms),
-    }
-}
+/// Connections that may wait.
+const BACKLOG: u32 = 16;
+/// What is added to a grace period before an address in use is an error.
+const MARGIN: Duration = Duration::from_secs(2);
 
 fn block_on<F: std::future::Future>(future: F) -> F::Output {
     let runtime = tokio::runtime::Builder::new_current_thread()
@@ -50,7 +48,9 @@
         drop(held);
     });
     let mut waits = Vec::new();
-    let listener = block_on(listen(addr, options(20_000), |addr| waits.push(addr)));
+    let listener = block_on(listen(addr, BACKLOG, Duration::from_secs(20), |addr| {
+        waits.push(addr)
+    }));
     assert_eq!(
         listener.expect("a listener").local_addr().expect("one"),
         addr
@@ -60,29 +60,27 @@
 }
 
 #[test]
-fn an_address_that_stays_in_use_is_an_error_after_the_timeout() {
+fn an_address_that_stays_in_use_is_an_error_after_the_grace_period() {
+    const GRACE: Duration = Duration::from_millis(200);
     let held = TcpListener::bind("127.0.0.1:0").expect("a port");
     let addr = held.local_addr().expect("an address");
     let since = Instant::now();
-    let error = block_on(listen(addr, options(200), |_| {})).expect_err("in use");
+    let error = block_on(listen(addr, BACKLOG, GRACE, |_| {})).expect_err("in use");
     assert_eq!(
         (error.addr, error.source.kind()),
         (addr, io::ErrorKind::AddrInUse)
     );
-    assert!(since.elapsed() >= Duration::from_millis(200));
+    assert!(since.elapsed() >= GRACE + MARGIN);
 }
 
 #[test]
 fn an_address_of_no_interface_is_an_error_at_once() {
     let addr = "192.0.2.1:1".parse().expect("an address");
     let mut waits = 0;
-    let error = block_on(listen(addr, options(60_000), |_| waits += 1)).expect_err("not ours");
+    let error = block_on(listen(addr, BACKLOG, Duration::from_secs(60), |_| {
+        waits += 1
+    }))
+    .expect_err("not ours");
     assert_eq!(error.source.kind(), io::ErrorKind::AddrNotAvailable);
     assert_eq!(waits, 0);
 }
-
-#[test]
-fn a_predecessor_is_waited_for_beyond_its_grace_period() {
-    let grace = Duration::from_secs(8);
-    assert!(predecessor_timeout(grace) > grace);
-}
--- a/crates/control/controller/src/program.rs
+++ b/crates/control/controller/src/program.rs
@@ -8,7 +8,7 @@
 use crate::startup::{ProcessIdentity, RecoveredState, RecoveryError, Startup};
 use bytes::Bytes;
 use peer_transport::{ConnectionEvent, Handler, Peer, Transport};
-use process_startup::{predecessor_timeout, ListenError, ListenOptions, Signals};
+use process_startup::{ListenError, Signals};
 use slog::{crit, info, warn, Logger};
 use std::cell::Cell;
 use std::error::Error;
@@ -166,12 +166,9 @@
     addr: SocketAddr,
     log: &Logger,
 ) -> Result<TcpListener, StartError> {
-    let options = ListenOptions {
-        backlog: LISTEN_BACKLOG,
-        timeout: predecessor_timeout(Duration::from_millis(settings.bounds.grace_ms)),
-    };
+    let grace = Duration::from_millis(settings.bounds.grace_ms);
     let waiting = |addr| warn!(log, "address in use, waiting"; "code" => 1416, "addr" => %addr);
-    let opened = process_startup::listen(addr, options, waiting).await;
+    let opened = process_startup::listen(addr, LISTEN_BACKLOG, grace, waiting).await;
     opened.map_err(|ListenError { addr, source }| StartError::Listen(addr, source))
 }
 
--- a/crates/gateway/gateway/src/process.rs
+++ b/crates/gateway/gateway/src/process.rs
@@ -13,7 +13,7 @@
 use crate::{readiness, shutdown};
 use http1::{Connections, Phase};
 use peer_transport::{ConnectionEvent, Peer, Transport};
-use process_startup::{predecessor_timeout, ListenError, ListenOptions, Signals};
+use process_startup::{ListenError, Signals};
 use slog::{crit, error, info, warn, Logger};
 use std::cell::{Cell, RefCell};
 use std::collections::hash_map::RandomState;
@@ -88,12 +88,9 @@
     addr: SocketAddr,
     log: &Logger,
 ) -> Result<TcpListener, StartError> {
-    let options = ListenOptions {
-        backlog: BACKLOG,
-        timeout: predecessor_timeout(Duration::from_millis(settings.bounds.grace_ms)),
-    };
+    let grace = Duration::from_millis(settings.bounds.grace_ms);
     let waiting = |addr| warn!(log, "address in use, waiting"; "code" => codes::ADDRESS_IN_USE, "addr" => %addr);
-    let opened = process_startup::listen(addr, options, waiting).await;
+    let opened = process_startup::listen(addr, BACKLOG, grace, waiting).await;
     opened.map_err(|ListenError { addr, source }| StartError::Listen(addr, source))
 }
 
