--- a/review/8/run.sh
+++ b/review/8/run.sh
@@ -3,4 +3,4 @@
 # Needs the build of the deploy file and review/build-2.sh.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/review-2/rig ] || exit 2
-exec target/review-2/rig route-name-quota review/8/record.txt
+exec target/review-2/rig condemned review/8/record.txt
--- a/review/standin-2/late_beat.rs
+++ b/review/standin-2/late_beat.rs
@@ -94,7 +94,15 @@
     let answers = Answers::Unary { work_ms: 15 };
     for n in 1..=2 {
         let addr = rig.next_addr();
-        let runner = Runner::start(record, &format!("i-stays-{n}"), "ledger", addr, 6, answers, 0);
+        let runner = Runner::start(
+            record,
+            &format!("i-stays-{n}"),
+            "ledger",
+            addr,
+            6,
+            answers,
+            0,
+        );
         runner.send_heartbeats(ctls.clone());
     }
     if !rig.wait_ready(Duration::from_secs(10)) {
@@ -120,7 +128,9 @@
         slow_path(record, proxy, to, LATE);
         let (seqno, body) = runner.beat();
         let json = [("Content-Type", "application/json".to_owned())];
-        record.say(format!("i-leaves calls {to} over a slow way: Seqno {seqno}"));
+        record.say(format!(
+            "i-leaves calls {to} over a slow way: Seqno {seqno}"
+        ));
         let bytes = request(to, "POST", &runner.beat_path(), &json, body.as_bytes());
         let Ok(mut stream) = TcpStream::connect(proxy) else {
             return Verdict::CouldNotRun("no proxy");
@@ -148,7 +158,9 @@
     let Some(acknowledged) = runner.call_until_acknowledged(&ctls, &mut home) else {
         return Verdict::CouldNotRun("draining was not acknowledged");
     };
-    record.say(format!("draining acknowledged; {reached_before} requests had reached the runner"));
+    record.say(format!(
+        "draining acknowledged; {reached_before} requests had reached the runner"
+    ));
     // It serves on, and goes on with its heartbeats.
     let until = Instant::now() + Duration::from_secs(8);
     while Instant::now() < until {
@@ -173,9 +185,15 @@
         late.len()
     ));
     if let (Some(first), Some(last)) = (late.first(), late.last()) {
-        record.say(format!("from {first} to {last} ms after the acknowledgement"));
+        record.say(format!(
+            "from {first} to {last} ms after the acknowledgement"
+        ));
     }
-    if !rig.all_run() || left.is_none() || reached_before == 0 || served.load(Ordering::SeqCst) < 100 {
+    if !rig.all_run()
+        || left.is_none()
+        || reached_before == 0
+        || served.load(Ordering::SeqCst) < 100
+    {
         return Verdict::CouldNotRun("the deployment was not sound");
     }
     if late.is_empty() {
--- a/review/standin-2/lots.rs
+++ b/review/standin-2/lots.rs
@@ -23,6 +23,8 @@
     Name,
     /// A route for live requests is added, with a longer prefix.
     Added,
+    /// The route of the batch jobs is removed (a trial, no case of its own).
+    Removed,
 }
 
 struct Bulk {
@@ -48,6 +50,13 @@
     )
 }
 
+/// The same configuration, but for its first route.
+fn without_bulk(config: &str) -> String {
+    let start = config.find("{\"Name\":\"r-").unwrap_or(0);
+    let end = config.find("{\"Name\":\"r-live").unwrap_or(start);
+    format!("{}{}", &config[..start], &config[end..])
+}
+
 /// A batch job: its id, and the ids of its items.
 struct Lot {
     id: String,
@@ -111,7 +120,15 @@
     fn listed(&self, record: &Record, to: SocketAddr) -> Option<BTreeSet<String>> {
         let headers = [("Host", HOST.to_owned())];
         let path = format!("/-/lots/{}?StartAfter=0", self.id);
-        let answer = call(to, "GET", &path, &headers, b"", Duration::from_millis(2_500)).ok()?;
+        let answer = call(
+            to,
+            "GET",
+            &path,
+            &headers,
+            b"",
+            Duration::from_millis(2_500),
+        )
+        .ok()?;
         let text = answer.text();
         let ids: BTreeSet<String> = text
             .split("{\"Id\":\"")
@@ -192,7 +209,11 @@
         return Verdict::CouldNotRun("the batch job was not taken");
     }
     let accepted = record.now();
-    record.say(format!("lot {} accepted, {} items", lot.id, lot.items.len()));
+    record.say(format!(
+        "lot {} accepted, {} items",
+        lot.id,
+        lot.items.len()
+    ));
     sleep(Duration::from_millis(1_000));
     let second = match (change, trouble) {
         (Change::Name, true) => {
@@ -210,7 +231,10 @@
             config(3, &longer, "")
         }
         (Change::Added, true) => config(3, &bulk, &live_route("/puzzles/3/")),
-        (Change::Added, false) => config(3, &bulk, &live_route("/moves/")),
+        (Change::Added, false) | (Change::Removed, false) => {
+            config(3, &bulk, &live_route("/moves/"))
+        }
+        (Change::Removed, true) => without_bulk(&config(3, &bulk, &live_route("/moves/"))),
     };
     let Some(applied) = rig.put_config(1, &second, Duration::from_secs(4)) else {
         return Verdict::CouldNotRun("the second configuration was not taken");
@@ -234,7 +258,11 @@
             None => return Verdict::CouldNotRun("the batch job can't be read"),
         }
     }
-    let unlisted: Vec<&String> = lot.items.iter().filter(|id| !listed.contains(*id)).collect();
+    let unlisted: Vec<&String> = lot
+        .items
+        .iter()
+        .filter(|id| !listed.contains(*id))
+        .collect();
     record.say(format!(
         "{} ms after the 202: {} of {} items are listed",
         checked - accepted,
--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -4,6 +4,7 @@
 //! `rig CASE RECORD`; `TROUBLE=0` leaves the disruption out. Ends with 1 if the rule was broken, 0
 //! if it held, 2 if the case could not run.
 
+mod condemned;
 mod http;
 mod late_beat;
 mod lots;
@@ -31,9 +32,11 @@
     record.say(format!("{case}, disruption: {trouble}"));
     let verdict = match case.as_str() {
         "late-beat" => late_beat::play(&record, trouble),
+        "condemned" => condemned::play(&record, trouble),
         "silence" => silence::play(&record, trouble),
         "route-name" => lots::play_items(&record, trouble, lots::Change::Name),
         "route-added" => lots::play_items(&record, trouble, lots::Change::Added),
+        "route-removed" => lots::play_items(&record, trouble, lots::Change::Removed),
         "route-name-quota" => lots::play_quota(&record, trouble),
         _ => Verdict::CouldNotRun("no such case"),
     };
--- a/review/standin-2/rig.rs
+++ b/review/standin-2/rig.rs
@@ -90,6 +90,8 @@
     ports: Ports,
     processes: Vec<Process>,
     next_runner: u8,
+    /// Whether services are rolled out here: what is said of that in the settings files.
+    has_rollouts: bool,
 }
 
 impl Drop for Rig {
@@ -135,6 +137,15 @@
     /// Starts `edges` edge machines with a disk, each with a controller and a gateway, and `stores`
     /// storage machines.
     pub fn start(record: Record, edges: usize, stores: usize) -> Self {
+        Rig::start_as(record, edges, stores, false)
+    }
+
+    /// The same, of a deployment with roll-outs.
+    pub fn start_with_rollouts(record: Record, edges: usize) -> Self {
+        Rig::start_as(record, edges, 0, true)
+    }
+
+    fn start_as(record: Record, edges: usize, stores: usize, has_rollouts: bool) -> Self {
         let net = format!("127.{}.{}", 60 + draw() % 60, 1 + draw() % 250);
         let folder = std::env::temp_dir().join(format!("review-{}", std::process::id()));
         fs::create_dir_all(&folder).expect("a temporary folder");
@@ -166,6 +177,7 @@
             ports,
             processes: Vec::new(),
             next_runner: 101,
+            has_rollouts,
         };
         for at in 0..rig.edges.len() {
             rig.spawn("controller", at);
@@ -234,16 +246,24 @@
                 "CpuFrac = 0.5\nNcpu = 1\nRamMb = 300\nNofile = 8200\nLinkMbps = 480.0\nDiskMb = 500",
             ),
         };
+        let (guarantee, bounds) = if self.has_rollouts {
+            (
+                "\"rollout\",",
+                "CanaryShare = 0.1\nCanarySlack = 50\nRollbackMs = 5000\n",
+            )
+        } else {
+            ("", "")
+        };
         let text = format!(
             "Node = \"{node}\"\nRole = \"{role}\"\nMachineClass = \"{class}\"\nServes = [{serves}]\nIp = \"{ip}\"\n\
              Zone = \"{zone}\"\nRegion = \"bagmati\"\nPortRange = [{first},{last}]\nPeers = [{peers}]\nBootstrap = true\n\
              Voting = true\nDataDir = \"{disk}\"\nDiscovery = \"self_reg\"\nIngress = \"vip\"\nHeartbeatMs = 1200\n\
-             Guarantees = [\"base\",\"drain\",\"config\",\"cost\",\"recover\",\"batch\",\"stream\",\"engine\"]\n\
+             Guarantees = [\"base\",\"drain\",\"config\",\"cost\",\"recover\",{guarantee}\"batch\",\"stream\",\"engine\"]\n\
              [Zones]\nnorth = \"bagmati\"\nsouth = \"bagmati\"\nwest = \"bagmati\"\neast = \"bagmati\"\n\
              [Bind]\n{bind}\n[Limits]\n{limits}\n[FaultBudget]\nNodes = 1\nZones = 0\nRegions = 0\n\
              [Bounds]\nSeedLagS = 3\nReuseS = 2\nContactMs = 3000\nAckMs = 4000\nSyncS = 5\nDrainMs = 2000\nGraceS = 8\n\
              LossSlackMs = 200\nApplyMs = 2000\nDowngradeMs = 250\nStretchMs = 5000\nRecoveryS = 12\npass_ms = 120\n\
-             again_s = 0\nCompleteS = 10\nPollS = 120\nCancelMs = 3000\nSettleMs = 1000\nQuotaExcess = 0.1\n",
+             again_s = 0\nCompleteS = 10\nPollS = 120\nCancelMs = 3000\nSettleMs = 1000\nQuotaExcess = 0.1\n{bounds}",
             node = machine.node,
             class = machine.class,
             zone = machine.zone,
@@ -301,7 +321,10 @@
     /// Waits until a process that was stopped has ended, and takes it off the list.
     pub fn wait_ended(&mut self, role: &str, at: usize, within: Duration) -> bool {
         let until = Instant::now() + within;
-        let place = self.processes.iter().position(|p| p.role == role && p.at == at);
+        let place = self
+            .processes
+            .iter()
+            .position(|p| p.role == role && p.at == at);
         let Some(place) = place else { return true };
         loop {
             if !matches!(self.processes[place].child.try_wait(), Ok(None)) {
@@ -341,11 +364,13 @@
         let mut pause = Duration::from_millis(100);
         for turn in 0.. {
             let to = ctls[turn % ctls.len()];
-            self.record.line(format!("operator: replace on {base} at {to}"));
+            self.record
+                .line(format!("operator: replace on {base} at {to}"));
             let answer = ctl_call(to, "POST", "/-/config/replace", &headers, body.as_bytes());
             let status = answer.as_ref().map_or(0, Message::status);
             let text = answer.map(|a| a.text()).unwrap_or_default();
-            self.record.line(format!("operator: answered {status} {text}"));
+            self.record
+                .line(format!("operator: answered {status} {text}"));
             match status {
                 200 => return Some(self.record.now()),
                 400 | 409 | 412 | 413 | 422 => return None,
--- a/review/standin-2/runner.rs
+++ b/review/standin-2/runner.rs
@@ -40,6 +40,10 @@
     pub ended: AtomicBool,
     /// The first event of a fresh stream comes after so long; 0: after a usual pause.
     pub first_event_ms: AtomicU64,
+    /// The version of its software: `Gen` of its heartbeats.
+    pub version: Mutex<&'static str>,
+    /// Every so many-th request is answered with 500; 0: none.
+    pub fail_every: AtomicU64,
     seqno: AtomicU64,
     running: AtomicU32,
     record: Record,
@@ -66,6 +70,8 @@
             draining: AtomicBool::new(false),
             ended: AtomicBool::new(false),
             first_event_ms: AtomicU64::new(0),
+            version: Mutex::new("v1"),
+            fail_every: AtomicU64::new(0),
             seqno: AtomicU64::new(first_seqno),
             running: AtomicU32::new(0),
             record: record.clone(),
@@ -90,9 +96,12 @@
             "up"
         };
         let body = format!(
-            "{{\"Svc\":\"{}\",\"Address\":\"{}\",\"Zone\":\"north\",\"Gen\":\"v1\",\"Slots\":{},\"State\":\"{state}\",\
+            "{{\"Svc\":\"{}\",\"Address\":\"{}\",\"Zone\":\"north\",\"Gen\":\"{}\",\"Slots\":{},\"State\":\"{state}\",\
              \"ColdLeftMs\":0,\"Phase\":\"both\",\"Models\":[{{\"Name\":\"m\",\"Gen\":1,\"Loras\":[]}}],\"Seqno\":{seqno}}}",
-            self.svc, self.addr, self.slots
+            self.svc,
+            self.addr,
+            self.version.lock().expect("no panic holds it"),
+            self.slots
         );
         (seqno, body)
     }
@@ -225,7 +234,16 @@
             });
             runs.len() - 1
         };
-        let done = self.run(request, &own, writer);
+        let every = self.fail_every.load(Ordering::SeqCst);
+        let done = if every > 0 && place as u64 % every == every - 1 {
+            sleep(Duration::from_millis(15));
+            writer.write_all(
+                format!("HTTP/1.1 500 Internal Server Error\r\n{own}Content-Length: 0\r\n\r\n")
+                    .as_bytes(),
+            )
+        } else {
+            self.run(request, &own, writer)
+        };
         self.running.fetch_sub(1, Ordering::SeqCst);
         if done.is_ok() {
             let mut runs = self.runs.lock().expect("no panic holds it");
@@ -250,7 +268,9 @@
             }
             Answers::Stream { events, gap_ms } => {
                 let after = request.header("last-event-id");
-                let from = after.and_then(|n| n.parse::<u32>().ok()).map_or(0, |n| n + 1);
+                let from = after
+                    .and_then(|n| n.parse::<u32>().ok())
+                    .map_or(0, |n| n + 1);
                 writer.write_all(
                     format!(
                         "HTTP/1.1 200 OK\r\n{own}{seal}Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
--- a/review/standin-2/silence.rs
+++ b/review/standin-2/silence.rs
@@ -112,7 +112,10 @@
             runs.iter().any(|run| run.id == id)
         })
     };
-    let cut: Vec<&Ended> = ended.iter().filter(|e| !e.whole && reached(&e.id)).collect();
+    let cut: Vec<&Ended> = ended
+        .iter()
+        .filter(|e| !e.whole && reached(&e.id))
+        .collect();
     for one in &cut {
         record.line(format!(
             "{} was cut {} ms after the SIGTERM, with {} of {EVENTS} events",
